--- /dev/null
+++ b/src/include/snipeworks/control_messages.h
@@ -0,0 +1,182 @@
+#ifndef SNIPEWORKS_CONTROL_MESSAGES_H_
+#define SNIPEWORKS_CONTROL_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "snipeworks/consensus_types.h"
+#include "snipeworks/entry_messages.h"
+#include "snipeworks/wire.h"
+
+namespace snipeworks {
+
+/// Paths of calls to control hosts.
+inline constexpr char kControlSettingsPath[] = "/control/settings";
+inline constexpr char kControlProposePath[] = "/control/propose";
+inline constexpr char kControlConsensusPath[] = "/control/consensus";
+inline constexpr char kControlStatusPath[] = "/control/status";
+inline constexpr char kControlMembersPath[] = "/control/members";
+inline constexpr char kControlHistoryPath[] = "/control/history";
+
+/// What a command does.
+enum class CommandKind : std::uint8_t { kSettings, kClaim, kOutcome };
+
+/// How a claim stands.
+enum class ClaimState : std::uint8_t {
+  kOpen,    ///< Its owner may be running it.
+  kDone,    ///< It ran; the outcome is kept.
+  kNotRun,  ///< Its owner proved that it did not run.
+  kMaybe,   ///< It may have run; final.
+};
+
+/// The answer to a command.
+enum class CommandStatus : std::uint8_t {
+  kAccepted,
+  kConflict,    ///< Settings: another change came first.
+  kInvalid,     ///< Settings that cannot be read.
+  kGranted,     ///< Claim: the asker alone may run it.
+  kInProgress,  ///< Claim: another holds it.
+  kDone,        ///< Claim: it ran; the outcome is attached.
+  kMaybe,       ///< Claim: it may have run.
+  kKeyReused,   ///< Claim: the key came with another body.
+  kKeyExpired,  ///< Claim: the key is older than claims are kept.
+  kUnknown,     ///< Outcome: no such claim.
+};
+
+}  // namespace snipeworks
+
+MSGPACK_ADD_ENUM(snipeworks::CommandKind)
+MSGPACK_ADD_ENUM(snipeworks::ClaimState)
+MSGPACK_ADD_ENUM(snipeworks::CommandStatus)
+
+namespace snipeworks {
+
+/// A command to the control state. Members that its kind does not use are
+/// empty.
+struct ControlCommand {
+  CommandKind kind = CommandKind::kSettings;
+  std::int64_t time_s = 0;  ///< Set by the leader.
+  // kSettings
+  std::string change_id;
+  std::uint64_t base_version = 0;
+  std::string author;
+  std::string text;
+  // kClaim and kOutcome
+  std::string caller;
+  std::string key;
+  std::uint64_t body_hash = 0;
+  std::string owner;  ///< Unique to one try of one entry host.
+  std::int64_t created_s = 0;
+  ClaimState outcome = ClaimState::kOpen;
+  std::int32_t http_status = 0;
+  std::string body;
+
+  friend auto operator<=>(const ControlCommand&,
+                          const ControlCommand&) = default;
+};
+
+template <SameStruct<ControlCommand> S>
+auto WireFields(S& v) {
+  return std::tie(v.kind, v.time_s, v.change_id, v.base_version, v.author,
+                  v.text, v.caller, v.key, v.body_hash, v.owner, v.created_s,
+                  v.outcome, v.http_status, v.body);
+}
+
+/// The answer to a command, the same on every host.
+struct CommandResult {
+  CommandStatus status = CommandStatus::kUnknown;
+  std::uint64_t version = 0;  ///< Settings: the version accepted or current.
+  std::string detail;
+  std::int32_t http_status = 0;  ///< With kDone.
+  std::string body;              ///< With kDone.
+
+  friend auto operator<=>(const CommandResult&, const CommandResult&) = default;
+};
+
+template <SameStruct<CommandResult> S>
+auto WireFields(S& v) {
+  return std::tie(v.status, v.version, v.detail, v.http_status, v.body);
+}
+
+/// The answer to a call with a command: its result, or where to go.
+struct ProposeReply {
+  bool decided = false;  ///< True if `result` holds; else try again.
+  CommandResult result;
+  std::string leader;  ///< Host that may lead, or empty.
+};
+
+template <SameStruct<ProposeReply> S>
+auto WireFields(S& v) {
+  return std::tie(v.decided, v.result, v.leader);
+}
+
+/// What a control host says of itself.
+struct ControlStatus {
+  std::string host;
+  std::string role;
+  std::string leader;
+  std::uint64_t term = 0;
+  std::uint64_t commit = 0;
+  std::uint64_t last = 0;
+  std::uint64_t first = 0;
+  bool current = false;  ///< False if it may be behind.
+  bool failed = false;
+  std::uint64_t settings_version = 0;
+  std::uint64_t claims = 0;
+  std::vector<Member> members;
+  std::vector<SettingsQuery> in_force;  ///< Versions that entry hosts named.
+};
+
+template <SameStruct<ControlStatus> S>
+auto WireFields(S& v) {
+  return std::tie(v.host, v.role, v.leader, v.term, v.commit, v.last, v.first,
+                  v.current, v.failed, v.settings_version, v.claims, v.members,
+                  v.in_force);
+}
+
+/// Asks the leader to add a host that is to join, or to remove one.
+struct MembersRequest {
+  bool add = false;
+  std::string host;
+  std::string address;
+};
+
+template <SameStruct<MembersRequest> S>
+auto WireFields(S& v) {
+  return std::tie(v.add, v.host, v.address);
+}
+
+/// One accepted change of the settings.
+struct SettingsRecord {
+  std::uint64_t version = 0;
+  std::string change_id;
+  std::string author;
+  std::int64_t time_s = 0;
+  std::string text;
+
+  friend auto operator<=>(const SettingsRecord&,
+                          const SettingsRecord&) = default;
+};
+
+template <SameStruct<SettingsRecord> S>
+auto WireFields(S& v) {
+  return std::tie(v.version, v.change_id, v.author, v.time_s, v.text);
+}
+
+/// The newest accepted changes, oldest first.
+struct SettingsHistory {
+  bool current = false;  ///< False if the host may be behind.
+  std::vector<SettingsRecord> records;
+};
+
+template <SameStruct<SettingsHistory> S>
+auto WireFields(S& v) {
+  return std::tie(v.current, v.records);
+}
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_CONTROL_MESSAGES_H_
--- /dev/null
+++ b/src/include/snipeworks/control_state.h
@@ -0,0 +1,83 @@
+#ifndef SNIPEWORKS_CONTROL_STATE_H_
+#define SNIPEWORKS_CONTROL_STATE_H_
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "snipeworks/consensus_node.h"
+#include "snipeworks/control_messages.h"
+
+namespace snipeworks {
+
+/// How long claims are kept, in seconds. A key older than this is refused.
+inline constexpr std::int64_t kClaimRetentionS = 24 * 3600;
+/// How far ahead of the control hosts' clock a key may say it was made.
+inline constexpr std::int64_t kClaimSkewS = 300;
+/// How long a claim may stay open before it counts as "may have run".
+inline constexpr std::int64_t kClaimOpenS = 60;
+
+/// One claim of an idempotency key.
+struct ClaimRecord {
+  std::uint64_t body_hash = 0;
+  std::string owner;
+  std::int64_t created_s = 0;
+  std::int64_t open_until_s = 0;
+  ClaimState state = ClaimState::kOpen;
+  std::int32_t http_status = 0;
+  std::string body;
+
+  friend auto operator<=>(const ClaimRecord&, const ClaimRecord&) = default;
+};
+
+template <SameStruct<ClaimRecord> S>
+auto WireFields(S& v) {
+  return std::tie(v.body_hash, v.owner, v.created_s, v.open_until_s, v.state,
+                  v.http_status, v.body);
+}
+
+/// The state that the control log drives: the fleet settings with their
+/// history, and the claims. The same commands give the same state everywhere:
+/// time comes from the commands.
+class ControlState : public StateMachine {
+ public:
+  ControlState() = default;
+
+  std::string Apply(const std::string& command) override;
+  std::string Save() const override;
+  void Load(const std::string& state) override;
+
+  CommandResult Apply(const ControlCommand& command);
+
+  /// Version 0 with empty text until a first change is accepted.
+  VersionedSettings settings() const;
+  std::size_t claims() const { return claims_.size(); }
+  /// The newest changes, oldest first, `most` at most.
+  std::vector<SettingsRecord> History(std::size_t most) const;
+  /// The latest time that any command brought.
+  std::int64_t time_s() const { return time_s_; }
+
+ private:
+  using ClaimKey = std::pair<std::string, std::string>;  // Caller and key.
+
+  CommandResult ApplySettings(const ControlCommand& command);
+  CommandResult ApplyClaim(const ControlCommand& command);
+  CommandResult ApplyOutcome(const ControlCommand& command);
+  void DropExpiredClaims();
+
+  std::int64_t time_s_ = 0;
+  std::deque<SettingsRecord> history_;
+  /// First answers to change ids, oldest first.
+  std::deque<std::string> change_order_;
+  std::map<std::string, CommandResult> changes_;
+  std::map<ClaimKey, ClaimRecord> claims_;
+  /// Claims by the time their keys were made, for dropping them.
+  std::multimap<std::int64_t, ClaimKey> by_age_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_CONTROL_STATE_H_
--- /dev/null
+++ b/src/include/snipeworks/entry_metrics.h
@@ -0,0 +1,50 @@
+#ifndef SNIPEWORKS_ENTRY_METRICS_H_
+#define SNIPEWORKS_ENTRY_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "snipeworks/attempt.h"
+#include "snipeworks/error.h"
+#include "snipeworks/peer_transport.h"
+#include "snipeworks/search.h"
+
+namespace snipeworks {
+
+/// Values that are read off a host when its metrics are asked for.
+struct EntryGauges {
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::size_t targets = 0;
+  std::size_t targets_usable = 0;
+  std::size_t quarantined = 0;
+  std::uint64_t settings_version = 0;
+  bool ready = false;
+  PeerTraffic peers;
+};
+
+/// The metrics of an entry host, in Prometheus' text form. Thread-safe.
+class EntryMetrics {
+ public:
+  EntryMetrics();
+  ~EntryMetrics();
+
+  void OnAttempt(const std::string& group, AttemptKind kind);
+  void OnOutcome(AttemptStatus status);
+  void OnSearch(const SearchRequest& request,
+                const Result<SearchAnswer>& result,
+                Duration latency);
+  void OnAction(const std::string& group, const char* outcome);
+
+  /// The page that Prometheus reads.
+  std::string Page(const EntryGauges& gauges);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_ENTRY_METRICS_H_
--- /dev/null
+++ b/src/include/snipeworks/history.h
@@ -0,0 +1,43 @@
+#ifndef SNIPEWORKS_HISTORY_H_
+#define SNIPEWORKS_HISTORY_H_
+
+#include <fstream>
+#include <mutex>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace snipeworks {
+
+/// An append-only file of JSON lines about what a program saw, for the history
+/// check. Thread-safe; each line is handed to the system before Write returns,
+/// so that a killed process leaves what it had seen.
+class HistoryWriter {
+ public:
+  /// Writes nothing if `path` is empty.
+  explicit HistoryWriter(const std::string& path) {
+    if (!path.empty()) {
+      file_.open(path, std::ios::app);
+    }
+  }
+
+  bool enabled() const { return file_.is_open(); }
+
+  void Write(const nlohmann::json& event) {
+    if (!enabled()) {
+      return;
+    }
+    const std::string line =
+        event.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::lock_guard lock(mutex_);
+    file_ << line << std::endl;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::ofstream file_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_HISTORY_H_
--- /dev/null
+++ b/src/include/snipeworks/peer_transport.h
@@ -0,0 +1,92 @@
+#ifndef SNIPEWORKS_PEER_TRANSPORT_H_
+#define SNIPEWORKS_PEER_TRANSPORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "snipeworks/address.h"
+#include "snipeworks/clock.h"
+#include "snipeworks/error.h"
+#include "snipeworks/event_loop.h"
+
+namespace snipeworks {
+
+/// Why a call to another process of the system brought no answer.
+enum class PeerFailure {
+  kUnreachable,  ///< No connection, or it broke.
+  kTimeout,
+  kRejected,  ///< The peer answered with an error.
+};
+
+/// The payload of a peer's answer, or why there is none.
+using PeerResult = tl::expected<std::string, PeerFailure>;
+
+/// Bytes that went over the links of one process.
+struct PeerTraffic {
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t calls_sent = 0;
+  std::uint64_t calls_received = 0;
+};
+
+/// Takes calls from other processes, each on an HTTP/2 stream.
+class PeerServer {
+ public:
+  /// Answers a call, now or later; an empty result rejects it.
+  using Reply = std::function<void(tl::expected<std::string, PeerFailure>)>;
+  using Handler = std::function<
+      void(const std::string& path, const std::string& payload, Reply reply)>;
+
+  /// Listens on `address`. Fails with kInternal if it cannot be had.
+  static Result<std::unique_ptr<PeerServer>> Start(EventLoop& loop,
+                                                   const Address& address,
+                                                   Handler handler);
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  const PeerTraffic& traffic() const;
+
+ private:
+  class Impl;
+  explicit PeerServer(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Calls other processes over one HTTP/2 connection to each. A call that times
+/// out closes its connection, since a connection can be silent for good.
+class PeerClient {
+ public:
+  using Done = std::function<void(const PeerResult&)>;
+
+  explicit PeerClient(EventLoop& loop);
+  ~PeerClient();
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
+
+  /// Sends `payload` to `path` at `address` ("IP:port"); `done` runs once,
+  /// later, on the loop.
+  void Call(const std::string& address,
+            const std::string& path,
+            std::string payload,
+            Duration timeout,
+            Done done);
+
+  /// Cuts or mends the link to `address`, for failure tests: a call over a cut
+  /// link vanishes and times out.
+  void SetCut(const std::string& address, bool cut);
+
+  const PeerTraffic& traffic() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_PEER_TRANSPORT_H_
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -14,6 +14,7 @@
 #include "snipeworks/fleet_settings.h"
 #include "snipeworks/poison_tracker.h"
 #include "snipeworks/search.h"
+#include "snipeworks/target_view.h"
 
 namespace snipeworks {
 
@@ -48,12 +49,27 @@
   bool confirm = false;
 };
 
+/// What an announcement brought.
+enum class AnnounceResult {
+  kOld,      ///< Known already, or older than what is known.
+  kRenewal,  ///< Only a later sequence and load.
+  kChange,   ///< Another state, address, incarnation or set of parts.
+};
+
 using SearchAction = std::variant<StartAttempt,
                                   CancelAttempt,
                                   ProbeAttempt,
                                   FinishSearch,
                                   ShareEvidence>;
 
+/// A target lent to a request that is not repeatable.
+struct ActionTarget {
+  std::string target;
+  std::string address;
+  SnapshotId snapshot;
+  PartNumber part = 0;
+};
+
 /// What a SearchController is made with.
 struct SearchControllerConfig {
   std::string host;               ///< This entry host's name.
@@ -74,9 +90,10 @@
   /// Puts settings in force for new searches.
   void ApplySettings(const FleetSettings& settings);
 
-  /// Takes a target's announcement heard `age` ago by its relay. Returns true
-  /// if it was news.
-  bool Announce(Instant now, const Announcement& news, Duration age = {});
+  /// Takes a target's announcement heard `age` ago by its relay.
+  AnnounceResult Announce(Instant now,
+                          const Announcement& news,
+                          Duration age = {});
 
   /// Takes a search; FinishSearch follows, at once if it is refused.
   void Submit(Instant now, SearchRequest request);
@@ -102,12 +119,22 @@
   /// The actions since the last call, in order.
   std::vector<SearchAction> TakeActions();
 
+  /// A target of `group` with room that is not in `tried`, for a request that
+  /// is not repeatable; its load is counted until ReleaseTarget. Fails with
+  /// kUnknownGroup, kNoTarget or kOverloaded.
+  Result<ActionTarget> TakeTarget(Instant now,
+                                  const std::string& group,
+                                  const std::vector<std::string>& tried);
+  void ReleaseTarget(Instant now,
+                     const std::string& group,
+                     const std::string& target,
+                     const AttemptOutcome& outcome,
+                     Duration latency);
+
   /// What an operator may look at or release.
   std::vector<Fingerprint> Quarantined(Instant now) const;
   bool Release(Fingerprint fingerprint);
-  std::vector<const Announcement*> Targets() const;
-  std::optional<Duration> TargetAge(Instant now,
-                                    const std::string& target) const;
+  const TargetView& view() const;
   /// Connections that this host may hold to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
   /// Searches that have no answer yet.
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -1,6 +1,7 @@
 #ifndef SNIPEWORKS_TARGET_VIEW_H_
 #define SNIPEWORKS_TARGET_VIEW_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,6 +30,9 @@
   /// The announcement of `target` if it may get new work at `now`.
   const Announcement* Usable(Instant now, std::string_view target) const;
 
+  /// The newest announcement of `target`, usable or not, or null.
+  const Announcement* Find(std::string_view target) const;
+
   /// Every known announcement that has not been forgotten.
   std::vector<const Announcement*> All() const;
 
@@ -42,6 +46,10 @@
   /// How long ago this host heard the newest announcement of `target`.
   std::optional<Duration> Age(Instant now, std::string_view target) const;
 
+  /// A digest of all that is known but sequences and load: hosts with equal
+  /// digests know the same targets.
+  std::uint64_t Digest() const;
+
   /// Forgets targets silent for much longer than a lease.
   void Prune(Instant now);
 
--- /dev/null
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -0,0 +1,151 @@
+#include "snipeworks/entry_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace snipeworks {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+const Histogram::BucketBoundaries kLatencyBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05,
+    0.065, 0.1,   0.2,   0.5,  1.0,  2.0,   5.0};
+const Histogram::BucketBoundaries kCoverageBuckets = {0.0,  0.5,  0.8,   0.9,
+                                                      0.95, 0.99, 0.999, 1.0};
+
+Gauge& OneGauge(prometheus::Registry& registry,
+                const char* name,
+                const char* help) {
+  return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}  // namespace
+
+class EntryMetrics::Impl {
+ public:
+  prometheus::Registry registry;
+  Family<Counter>& requests = BuildCounter()
+                                  .Name("snipeworks_requests_total")
+                                  .Help("Requests answered, by outcome")
+                                  .Register(registry);
+  Family<Histogram>& duration =
+      BuildHistogram()
+          .Name("snipeworks_request_duration_seconds")
+          .Help("Time from a request's arrival to its answer")
+          .Register(registry);
+  Family<Histogram>& coverage =
+      BuildHistogram()
+          .Name("snipeworks_answer_coverage_ratio")
+          .Help("Share of the snapshot's documents that answers cover")
+          .Register(registry);
+  Family<Counter>& attempts = BuildCounter()
+                                  .Name("snipeworks_attempts_total")
+                                  .Help("Attempts sent to targets, by kind")
+                                  .Register(registry);
+  Family<Counter>& outcomes = BuildCounter()
+                                  .Name("snipeworks_attempt_outcomes_total")
+                                  .Help("How attempts ended")
+                                  .Register(registry);
+  Family<Counter>& actions =
+      BuildCounter()
+          .Name("snipeworks_actions_total")
+          .Help("Requests that are not repeatable, by outcome")
+          .Register(registry);
+  Gauge& running = OneGauge(registry,
+                            "snipeworks_requests_running",
+                            "Searches that have no answer yet");
+  Gauge& waiting = OneGauge(registry,
+                            "snipeworks_parts_waiting",
+                            "Parts that wait in this host for a slot");
+  Gauge& targets = OneGauge(registry,
+                            "snipeworks_targets_known",
+                            "Targets that are remembered");
+  Gauge& usable = OneGauge(registry,
+                           "snipeworks_targets_usable",
+                           "Targets with a lease that are not draining");
+  Gauge& quarantined = OneGauge(registry,
+                                "snipeworks_quarantined_requests",
+                                "Fingerprints that are refused");
+  Gauge& settings = OneGauge(registry,
+                             "snipeworks_settings_version",
+                             "Version of the settings in force here");
+  Gauge& ready =
+      OneGauge(registry, "snipeworks_ready", "1 if this host takes requests");
+  Gauge& sent = OneGauge(registry,
+                         "snipeworks_peer_sent_bytes",
+                         "Bytes sent to other hosts of the system");
+  Gauge& received = OneGauge(registry,
+                             "snipeworks_peer_received_bytes",
+                             "Bytes received from other hosts of the system");
+};
+
+EntryMetrics::EntryMetrics() : impl_(std::make_unique<Impl>()) {}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void EntryMetrics::OnAttempt(const std::string& group, AttemptKind kind) {
+  impl_->attempts.Add({{"group", group}, {"kind", ToString(kind)}}).Increment();
+}
+
+void EntryMetrics::OnOutcome(AttemptStatus status) {
+  impl_->outcomes.Add({{"status", ToString(status)}}).Increment();
+}
+
+void EntryMetrics::OnSearch(const SearchRequest& request,
+                            const Result<SearchAnswer>& result,
+                            Duration latency) {
+  std::string outcome = "complete";
+  if (!result) {
+    outcome = std::string(RowOf(result.error().kind).name);
+  } else if (!result->coverage.complete()) {
+    outcome = "partial";
+  }
+  // Group names come from callers; those that no target has are counted
+  // together, or anyone could fill the memory with them.
+  const bool unknown =
+      !result && result.error().kind == ErrorKind::kUnknownGroup;
+  const std::string group = unknown ? "" : request.group;
+  const char* request_class = ToString(request.request_class);
+  impl_->requests
+      .Add({{"group", group}, {"class", request_class}, {"outcome", outcome}})
+      .Increment();
+  impl_->duration
+      .Add({{"group", group}, {"class", request_class}}, kLatencyBuckets)
+      .Observe(std::chrono::duration<double>(latency).count());
+  if (result && result->coverage.documents_total > 0) {
+    const double share =
+        static_cast<double>(result->coverage.documents_answered) /
+        static_cast<double>(result->coverage.documents_total);
+    impl_->coverage.Add({{"group", group}}, kCoverageBuckets).Observe(share);
+  }
+}
+
+void EntryMetrics::OnAction(const std::string& group, const char* outcome) {
+  impl_->actions.Add({{"group", group}, {"outcome", outcome}}).Increment();
+}
+
+std::string EntryMetrics::Page(const EntryGauges& gauges) {
+  impl_->running.Set(static_cast<double>(gauges.running));
+  impl_->waiting.Set(static_cast<double>(gauges.waiting));
+  impl_->targets.Set(static_cast<double>(gauges.targets));
+  impl_->usable.Set(static_cast<double>(gauges.targets_usable));
+  impl_->quarantined.Set(static_cast<double>(gauges.quarantined));
+  impl_->settings.Set(static_cast<double>(gauges.settings_version));
+  impl_->ready.Set(gauges.ready ? 1.0 : 0.0);
+  impl_->sent.Set(static_cast<double>(gauges.peers.bytes_sent));
+  impl_->received.Set(static_cast<double>(gauges.peers.bytes_received));
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/event_loop.cpp
@@ -0,0 +1,223 @@
+#include "snipeworks/event_loop.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <uv.h>
+
+namespace snipeworks {
+
+namespace {
+
+// libuv counts in whole milliseconds; rounding up never fires early.
+std::uint64_t ToUvMilliseconds(Duration delay) {
+  const auto micros = std::max<std::int64_t>(0, delay.count());
+  return static_cast<std::uint64_t>((micros + 999) / 1000);
+}
+
+struct TimerTask {
+  uv_timer_t handle;
+  EventLoop::Task task;
+  bool once = true;
+};
+
+struct SignalTask {
+  uv_signal_t handle;
+  EventLoop::Task task;
+};
+
+void DeleteTimer(uv_handle_t* handle) {
+  delete static_cast<TimerTask*>(handle->data);
+}
+
+void DeleteSignal(uv_handle_t* handle) {
+  delete static_cast<SignalTask*>(handle->data);
+}
+
+void CloseLeftover(uv_handle_t* handle, void*) {
+  if (uv_is_closing(handle)) {
+    return;
+  }
+  uv_close_cb on_closed = nullptr;
+  if (handle->type == UV_TIMER && handle->data != nullptr) {
+    on_closed = DeleteTimer;
+  } else if (handle->type == UV_SIGNAL) {
+    on_closed = DeleteSignal;
+  }
+  uv_close(handle, on_closed);
+}
+
+}  // namespace
+
+class EventLoop::Impl {
+ public:
+  Impl() {
+    uv_loop_init(&loop_);
+    uv_async_init(&loop_, &wake_, [](uv_async_t* handle) {
+      static_cast<Impl*>(handle->data)->RunPosted();
+    });
+    wake_.data = this;
+  }
+
+  ~Impl() {
+    uv_walk(&loop_, CloseLeftover, nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+  }
+
+  void Post(Task task) {
+    {
+      const std::lock_guard lock(mutex_);
+      posted_.push_back(std::move(task));
+    }
+    uv_async_send(&wake_);
+  }
+
+  void AddTimer(Duration delay, Duration repeat, Task task) {
+    auto* timer = new TimerTask{{}, std::move(task), repeat == Duration{}};
+    uv_timer_init(&loop_, &timer->handle);
+    timer->handle.data = timer;
+    uv_timer_start(
+        &timer->handle,
+        [](uv_timer_t* handle) {
+          auto* fired = static_cast<TimerTask*>(handle->data);
+          fired->task();
+          if (fired->once) {
+            uv_close(reinterpret_cast<uv_handle_t*>(handle), DeleteTimer);
+          }
+        },
+        ToUvMilliseconds(delay), ToUvMilliseconds(repeat));
+  }
+
+  void OnSignal(int signal, Task task) {
+    auto* entry = new SignalTask{{}, std::move(task)};
+    uv_signal_init(&loop_, &entry->handle);
+    entry->handle.data = entry;
+    uv_signal_start(
+        &entry->handle,
+        [](uv_signal_t* handle, int) {
+          static_cast<SignalTask*>(handle->data)->task();
+        },
+        signal);
+  }
+
+  // Timers run before the loop waits and events after it, so both ends of the
+  // wait are watched.
+  void AfterEachTurn(Task task) {
+    after_turn_ = std::move(task);
+    uv_prepare_init(&loop_, &prepare_);
+    prepare_.data = this;
+    uv_prepare_start(&prepare_, [](uv_prepare_t* handle) {
+      static_cast<Impl*>(handle->data)->after_turn_();
+    });
+    uv_check_init(&loop_, &check_);
+    check_.data = this;
+    uv_check_start(&check_, [](uv_check_t* handle) {
+      static_cast<Impl*>(handle->data)->after_turn_();
+    });
+  }
+
+  uv_loop_t* loop() { return &loop_; }
+
+ private:
+  void RunPosted() {
+    std::vector<Task> tasks;
+    {
+      const std::lock_guard lock(mutex_);
+      tasks = std::exchange(posted_, {});
+    }
+    for (Task& task : tasks) {
+      task();
+    }
+  }
+
+  uv_loop_t loop_;
+  uv_async_t wake_;
+  uv_prepare_t prepare_{};
+  uv_check_t check_{};
+  Task after_turn_;
+  std::mutex mutex_;
+  std::vector<Task> posted_;
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::Run() {
+  uv_run(impl_->loop(), UV_RUN_DEFAULT);
+}
+
+void EventLoop::Stop() {
+  uv_stop(impl_->loop());
+}
+
+void EventLoop::Post(Task task) {
+  impl_->Post(std::move(task));
+}
+
+void EventLoop::After(Duration delay, Task task) {
+  impl_->AddTimer(delay, Duration{}, std::move(task));
+}
+
+void EventLoop::Every(Duration interval, Task task) {
+  impl_->AddTimer(interval, interval, std::move(task));
+}
+
+void EventLoop::OnSignal(int signal, Task task) {
+  impl_->OnSignal(signal, std::move(task));
+}
+
+void EventLoop::AfterEachTurn(Task task) {
+  impl_->AfterEachTurn(std::move(task));
+}
+
+uv_loop_s* EventLoop::raw() {
+  return impl_->loop();
+}
+
+// Closed by libuv after the owner has gone, so it deletes itself.
+class LoopTimer::Impl {
+ public:
+  Impl(uv_loop_t* loop, EventLoop::Task task) : task_(std::move(task)) {
+    uv_timer_init(loop, &handle_);
+    // The loop's destructor frees timers that carry data; this one is freed
+    // by its owner.
+    handle_.data = nullptr;
+  }
+
+  void Set(Duration delay) {
+    uv_timer_start(
+        &handle_,
+        [](uv_timer_t* handle) { reinterpret_cast<Impl*>(handle)->task_(); },
+        ToUvMilliseconds(delay), 0);
+  }
+
+  void Close() {
+    task_ = nullptr;
+    if (!uv_is_closing(reinterpret_cast<uv_handle_t*>(&handle_))) {
+      uv_close(
+          reinterpret_cast<uv_handle_t*>(&handle_),
+          [](uv_handle_t* handle) { delete reinterpret_cast<Impl*>(handle); });
+    }
+  }
+
+ private:
+  uv_timer_t handle_;  // First, so that its address is the object's.
+  EventLoop::Task task_;
+};
+
+LoopTimer::LoopTimer(EventLoop& loop, EventLoop::Task task)
+    : impl_(new Impl(loop.raw(), std::move(task))) {}
+
+LoopTimer::~LoopTimer() {
+  impl_->Close();
+}
+
+void LoopTimer::Set(Duration delay) {
+  impl_->Set(delay);
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/host_settings.cpp
@@ -0,0 +1,110 @@
+#include "snipeworks/host_settings.h"
+
+#include <algorithm>
+#include <array>
+
+#include "snipeworks/json_reader.h"
+
+namespace snipeworks {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kMaxHosts = 10000;
+constexpr std::uint64_t kMaxHoldMs = 60000;
+
+constexpr std::array<std::string_view, 11> kNames = {
+    "host",          "zone",
+    "http",          "peer",
+    "entry_hosts",   "control_hosts",
+    "data_folder",   "traces",
+    "trace_percent", "shutdown_hold_ms",
+    "allow_faults"};
+
+Address ReadAddress(JsonReader& reader, const char* name) {
+  const std::string text = reader.String(name);
+  if (!reader.ok()) {
+    return {};
+  }
+  auto address = Address::Parse(text);
+  if (!address) {
+    reader.Note(name, address.error().detail);
+    return {};
+  }
+  return *address;
+}
+
+std::vector<PeerHost> ReadHosts(JsonReader& outer, const char* name) {
+  std::vector<PeerHost> hosts;
+  if (!outer.Has(name)) {
+    return hosts;
+  }
+  for (const json& item : outer.Array(name, kMaxHosts)) {
+    JsonReader reader(item, name);
+    PeerHost host;
+    host.host = reader.String("host");
+    host.zone = reader.String("zone");
+    host.address = ReadAddress(reader, "peer");
+    outer.NoteFrom(reader);
+    hosts.push_back(std::move(host));
+  }
+  return hosts;
+}
+
+bool ReadSwitch(JsonReader& reader, const json& document, const char* name) {
+  if (!reader.Has(name)) {
+    return false;
+  }
+  if (!document[name].is_boolean()) {
+    reader.Note(name, "must be true or false");
+    return false;
+  }
+  return document[name].get<bool>();
+}
+
+std::size_t LineOfFault(std::string_view text, const std::string& fault) {
+  const std::string path = fault.substr(0, fault.find(':'));
+  const std::string name = path.substr(path.rfind('.') + 1);
+  const std::size_t at = text.find('"' + name + '"');
+  return at == std::string_view::npos ? 1 : LineOf(text, at);
+}
+
+}  // namespace
+
+Result<HostSettings> HostSettings::Parse(std::string_view text) {
+  Result<json> document = ParseJson(text);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  JsonReader reader(*document);
+  HostSettings settings;
+  settings.host_ = reader.String("host");
+  settings.zone_ = reader.String("zone");
+  settings.http_ = ReadAddress(reader, "http");
+  settings.peer_ = ReadAddress(reader, "peer");
+  settings.entry_hosts_ = ReadHosts(reader, "entry_hosts");
+  settings.control_hosts_ = ReadHosts(reader, "control_hosts");
+  settings.data_folder_ = reader.StringOr("data_folder", "");
+  settings.traces_ = reader.StringOr("traces", "");
+  settings.trace_percent_ =
+      static_cast<std::uint32_t>(reader.UnsignedOr("trace_percent", 0, 0, 100));
+  settings.shutdown_hold_ms_ = static_cast<std::uint32_t>(
+      reader.UnsignedOr("shutdown_hold_ms", 1000, 0, kMaxHoldMs));
+  settings.allow_faults_ = ReadSwitch(reader, *document, "allow_faults");
+  if (document->is_object()) {
+    for (const auto& [name, value] : document->items()) {
+      if (std::ranges::find(kNames, name) == kNames.end()) {
+        reader.Note(name.c_str(), "unknown name");
+      }
+    }
+  }
+  if (!reader.ok()) {
+    return Fail(ErrorKind::kBadRequest,
+                "line " + std::to_string(LineOfFault(text, reader.fault())) +
+                    ": " + reader.fault());
+  }
+  return settings;
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -0,0 +1,344 @@
+#include "snipeworks/peer_transport.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <uv.h>
+
+#include "http2_connection.h"
+
+namespace snipeworks {
+
+namespace {
+
+constexpr int kOkStatus = 200;
+constexpr int kRejectedStatus = 500;
+constexpr int kBacklog = 128;
+
+}  // namespace
+
+class PeerServer::Impl {
+ public:
+  Impl(EventLoop& loop, Handler handler)
+      : loop_(loop), handler_(std::move(handler)) {}
+
+  // Listeners are libuv handles, which outlive their owner until closed.
+  ~Impl() {
+    *alive_ = false;
+    for (Http2Connection* connection : std::set(connections_)) {
+      connection->Close();
+    }
+    if (listener_ != nullptr) {
+      uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+               [](uv_handle_t* handle) {
+                 delete reinterpret_cast<uv_tcp_t*>(handle);
+               });
+    }
+  }
+
+  Result<void> Listen(const Address& address) {
+    listener_ = new uv_tcp_t;
+    uv_tcp_init(loop_.raw(), listener_);
+    listener_->data = this;
+    sockaddr_in local{};
+    uv_ip4_addr(address.ip.c_str(), address.port, &local);
+    uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&local), 0);
+    const int listening =
+        uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog,
+                  [](uv_stream_t* listener, int status) {
+                    if (status == 0) {
+                      static_cast<Impl*>(listener->data)->AcceptOne(listener);
+                    }
+                  });
+    if (listening < 0) {
+      return Fail(ErrorKind::kInternal,
+                  "cannot listen on " + address.ToString());
+    }
+    return {};
+  }
+
+  const PeerTraffic& traffic() const { return traffic_; }
+
+ private:
+  void AcceptOne(uv_stream_t* listener) {
+    // The connection's events need its address before New returns it.
+    auto self = std::make_shared<Http2Connection*>(nullptr);
+    Http2Connection::Events events;
+    events.on_connected = [] {};
+    events.on_message = [this, self](std::int32_t stream,
+                                     const Http2Message& message) {
+      OnCall(*self, stream, message);
+    };
+    events.on_closed = [this, self, alive = alive_] {
+      if (*alive) {
+        connections_.erase(*self);
+      }
+    };
+    *self = Http2Connection::New(loop_.raw(), Http2Connection::Role::kServer,
+                                 std::move(events), traffic_);
+    connections_.insert(*self);
+    if (!(*self)->Accept(listener)) {
+      (*self)->Close();
+    }
+  }
+
+  void OnCall(Http2Connection* connection,
+              std::int32_t stream,
+              const Http2Message& message) {
+    ++traffic_.calls_received;
+    handler_(message.path, message.payload,
+             [this, connection, stream, alive = alive_](PeerResult result) {
+               if (!*alive || !connections_.contains(connection)) {
+                 return;
+               }
+               if (result) {
+                 connection->SendResponse(stream, kOkStatus,
+                                          std::move(*result));
+               } else {
+                 connection->SendResponse(stream, kRejectedStatus, "");
+               }
+             });
+  }
+
+  EventLoop& loop_;
+  Handler handler_;
+  uv_tcp_t* listener_ = nullptr;
+  std::set<Http2Connection*> connections_;
+  PeerTraffic traffic_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+PeerServer::PeerServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+PeerServer::~PeerServer() = default;
+
+Result<std::unique_ptr<PeerServer>> PeerServer::Start(EventLoop& loop,
+                                                      const Address& address,
+                                                      Handler handler) {
+  auto impl = std::make_unique<Impl>(loop, std::move(handler));
+  if (Result<void> listening = impl->Listen(address); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<PeerServer>(new PeerServer(std::move(impl)));
+}
+
+const PeerTraffic& PeerServer::traffic() const {
+  return impl_->traffic();
+}
+
+class PeerClient::Impl {
+ public:
+  explicit Impl(EventLoop& loop) : loop_(loop) {}
+
+  ~Impl() {
+    *alive_ = false;
+    for (auto& [address, link] : links_) {
+      if (link.connection != nullptr) {
+        link.connection->Close();
+      }
+    }
+  }
+
+  void Call(const std::string& address,
+            const std::string& path,
+            std::string payload,
+            Duration timeout,
+            Done done) {
+    ++traffic_.calls_sent;
+    const CallId id = next_call_++;
+    calls_[id] = {address, -1, std::move(done)};
+    loop_.After(timeout, [this, id, alive = alive_] {
+      if (*alive) {
+        OnTimeout(id);
+      }
+    });
+    if (cut_.contains(address)) {
+      return;
+    }
+    Link& link = links_[address];
+    if (link.connected) {
+      SendOn(link, id, path, std::move(payload));
+      return;
+    }
+    link.waiting.push_back({id, path, std::move(payload)});
+    if (link.connection == nullptr) {
+      Open(address, link);
+    }
+  }
+
+  void SetCut(const std::string& address, bool cut) {
+    if (!cut) {
+      cut_.erase(address);
+      return;
+    }
+    cut_.insert(address);
+    auto found = links_.find(address);
+    if (found != links_.end() && found->second.connection != nullptr) {
+      found->second.connection->Close();
+    }
+  }
+
+  const PeerTraffic& traffic() const { return traffic_; }
+
+ private:
+  using CallId = std::uint64_t;
+
+  struct PendingCall {
+    std::string address;
+    std::int32_t stream = -1;
+    Done done;
+  };
+  struct WaitingCall {
+    CallId id;
+    std::string path;
+    std::string payload;
+  };
+  struct Link {
+    Http2Connection* connection = nullptr;
+    bool connected = false;
+    std::vector<WaitingCall> waiting;
+    std::unordered_map<std::int32_t, CallId> streams;
+  };
+
+  void Open(const std::string& address, Link& link) {
+    auto parsed = Address::Parse(address);
+    if (!parsed) {
+      loop_.Post([this, address, alive = alive_] {
+        if (*alive) {
+          OnClosed(address);
+        }
+      });
+      return;
+    }
+    Http2Connection::Events events;
+    events.on_connected = [this, address] { OnConnected(address); };
+    events.on_message = [this, address](std::int32_t stream,
+                                        const Http2Message& message) {
+      OnAnswer(address, stream, message);
+    };
+    events.on_stream_failed = [this, address](std::int32_t stream) {
+      OnStreamFailed(address, stream);
+    };
+    events.on_closed = [this, address, alive = alive_] {
+      if (*alive) {
+        OnClosed(address);
+      }
+    };
+    link.connection =
+        Http2Connection::New(loop_.raw(), Http2Connection::Role::kClient,
+                             std::move(events), traffic_);
+    link.connection->Connect(*parsed);
+  }
+
+  void SendOn(Link& link,
+              CallId id,
+              const std::string& path,
+              std::string payload) {
+    auto call = calls_.find(id);
+    if (call == calls_.end()) {
+      return;
+    }
+    const std::int32_t stream =
+        link.connection->SendRequest(path, std::move(payload));
+    if (stream < 0) {
+      End(id, tl::unexpected(PeerFailure::kUnreachable));
+      return;
+    }
+    call->second.stream = stream;
+    link.streams[stream] = id;
+  }
+
+  void OnConnected(const std::string& address) {
+    Link& link = links_[address];
+    link.connected = true;
+    for (WaitingCall& call : std::exchange(link.waiting, {})) {
+      SendOn(link, call.id, call.path, std::move(call.payload));
+    }
+  }
+
+  void OnAnswer(const std::string& address,
+                std::int32_t stream,
+                const Http2Message& message) {
+    auto node = links_[address].streams.extract(stream);
+    if (node.empty()) {
+      return;
+    }
+    if (message.status == kOkStatus) {
+      End(node.mapped(), message.payload);
+    } else {
+      End(node.mapped(), tl::unexpected(PeerFailure::kRejected));
+    }
+  }
+
+  void OnStreamFailed(const std::string& address, std::int32_t stream) {
+    auto node = links_[address].streams.extract(stream);
+    if (!node.empty()) {
+      End(node.mapped(), tl::unexpected(PeerFailure::kUnreachable));
+    }
+  }
+
+  void OnClosed(const std::string& address) {
+    Link link = std::exchange(links_[address], {});
+    for (const WaitingCall& call : link.waiting) {
+      End(call.id, tl::unexpected(PeerFailure::kUnreachable));
+    }
+    for (const auto& [stream, id] : link.streams) {
+      End(id, tl::unexpected(PeerFailure::kUnreachable));
+    }
+  }
+
+  void OnTimeout(CallId id) {
+    auto found = calls_.find(id);
+    if (found == calls_.end()) {
+      return;
+    }
+    const std::string address = found->second.address;
+    auto link = links_.find(address);
+    End(id, tl::unexpected(PeerFailure::kTimeout));
+    if (link != links_.end() && link->second.connection != nullptr) {
+      link->second.connection->Close();
+    }
+  }
+
+  void End(CallId id, PeerResult result) {
+    auto node = calls_.extract(id);
+    if (node.empty()) {
+      return;
+    }
+    loop_.Post([done = std::move(node.mapped().done),
+                result = std::move(result)] { done(result); });
+  }
+
+  EventLoop& loop_;
+  std::map<std::string, Link> links_;
+  std::unordered_map<CallId, PendingCall> calls_;
+  std::set<std::string> cut_;
+  CallId next_call_ = 1;
+  PeerTraffic traffic_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+PeerClient::PeerClient(EventLoop& loop) : impl_(std::make_unique<Impl>(loop)) {}
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::Call(const std::string& address,
+                      const std::string& path,
+                      std::string payload,
+                      Duration timeout,
+                      Done done) {
+  impl_->Call(address, path, std::move(payload), timeout, std::move(done));
+}
+
+void PeerClient::SetCut(const std::string& address, bool cut) {
+  impl_->SetCut(address, cut);
+}
+
+const PeerTraffic& PeerClient::traffic() const {
+  return impl_->traffic();
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -97,11 +97,11 @@
     }
   }
 
-  bool Announce(Instant now, const Announcement& news, Duration age) {
-    const Announcement* before = view_.Usable(now, news.target);
+  AnnounceResult Announce(Instant now, const Announcement& news, Duration age) {
+    const Announcement* before = view_.Find(news.target);
     const bool same = before != nullptr && SameHoldings(*before, news);
     if (!view_.Merge(now, news, age)) {
-      return false;
+      return AnnounceResult::kOld;
     }
     GroupState& group = EnsureGroup(news.group);
     selector_.OnAnnouncement(now, news);
@@ -110,7 +110,7 @@
     }
     MarkReady(news);
     Pump(now);
-    return true;
+    return same ? AnnounceResult::kRenewal : AnnounceResult::kChange;
   }
 
   void Submit(Instant now, SearchRequest request) {
@@ -146,6 +146,15 @@
   void OnEvidenceShared(Instant now, Fingerprint fingerprint, bool elsewhere);
   void Tick(Instant now);
 
+  Result<ActionTarget> TakeTarget(Instant now,
+                                  const std::string& name,
+                                  const std::vector<std::string>& tried);
+  void ReleaseTarget(Instant now,
+                     const std::string& name,
+                     const std::string& target,
+                     const AttemptOutcome& outcome,
+                     Duration latency);
+
   std::optional<Instant> NextDue() const { return timers_.NextDue(); }
   std::vector<SearchAction> TakeActions() {
     return std::exchange(actions_, {});
@@ -945,6 +954,55 @@
   Pump(now);
 }
 
+// Any part serves: the parts from a random one on are tried for a target with
+// room.
+Result<ActionTarget> SearchController::Impl::TakeTarget(
+    Instant now,
+    const std::string& name,
+    const std::vector<std::string>& tried) {
+  GroupState* group = FindGroup(name);
+  if (group == nullptr) {
+    return Fail(ErrorKind::kUnknownGroup,
+                "no target has announced the group " + name, kFailedRetryAfter);
+  }
+  const auto snapshot = group->Snapshot(now, view_);
+  bool busy = false;
+  const std::size_t count = snapshot ? snapshot->replicas.size() : 0;
+  const std::size_t offset = count > 0 ? random_.Below(count) : 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::size_t index = (i + offset) % count;
+    const ReplicaChoice choice =
+        selector_.Choose({now, snapshot->replicas[index], tried,
+                          group->Reference(), group->policy});
+    if (choice.state == ReplicaChoice::State::kChosen) {
+      selector_.Stats(choice.target->target)->OnStart();
+      return ActionTarget{choice.target->target, choice.target->address,
+                          snapshot->id(), snapshot->manifest.parts[index].part};
+    }
+    busy |= choice.state == ReplicaChoice::State::kBusy;
+  }
+  if (busy) {
+    return Fail(ErrorKind::kOverloaded, "every target of " + name + " is busy",
+                kFailedRetryAfter);
+  }
+  return Fail(ErrorKind::kNoTarget, "no live target of " + name,
+              kFailedRetryAfter);
+}
+
+void SearchController::Impl::ReleaseTarget(Instant now,
+                                           const std::string& name,
+                                           const std::string& target,
+                                           const AttemptOutcome& outcome,
+                                           Duration latency) {
+  if (TargetStats* stats = selector_.Stats(target)) {
+    stats->OnFinish(now, outcome, latency, EnsureGroup(name).policy);
+  }
+  if (const Announcement* known = view_.Usable(now, target)) {
+    MarkReady(*known);
+  }
+  Pump(now);
+}
+
 SearchController::SearchController(SearchControllerConfig config)
     : impl_(std::make_unique<Impl>(std::move(config))) {}
 
@@ -954,9 +1012,9 @@
   impl_->ApplySettings(settings);
 }
 
-bool SearchController::Announce(Instant now,
-                                const Announcement& news,
-                                Duration age) {
+AnnounceResult SearchController::Announce(Instant now,
+                                          const Announcement& news,
+                                          Duration age) {
   return impl_->Announce(now, news, age);
 }
 
@@ -990,6 +1048,21 @@
   impl_->OnEvidenceShared(now, fingerprint, running_elsewhere);
 }
 
+Result<ActionTarget> SearchController::TakeTarget(
+    Instant now,
+    const std::string& group,
+    const std::vector<std::string>& tried) {
+  return impl_->TakeTarget(now, group, tried);
+}
+
+void SearchController::ReleaseTarget(Instant now,
+                                     const std::string& group,
+                                     const std::string& target,
+                                     const AttemptOutcome& outcome,
+                                     Duration latency) {
+  impl_->ReleaseTarget(now, group, target, outcome, latency);
+}
+
 void SearchController::Tick(Instant now) {
   impl_->Tick(now);
 }
@@ -1010,14 +1083,8 @@
   return impl_->poison().Release(fingerprint);
 }
 
-std::vector<const Announcement*> SearchController::Targets() const {
-  return impl_->view().All();
-}
-
-std::optional<Duration> SearchController::TargetAge(
-    Instant now,
-    const std::string& target) const {
-  return impl_->view().Age(now, target);
+const TargetView& SearchController::view() const {
+  return impl_->view();
 }
 
 std::uint32_t SearchController::ConnectionShare(
--- /dev/null
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -0,0 +1,203 @@
+#include "snipeworks/target_protocol.h"
+
+#include <optional>
+
+#include "snipeworks/json_reader.h"
+
+namespace snipeworks {
+
+using nlohmann::json;
+using std::chrono::microseconds;
+
+namespace {
+
+constexpr std::size_t kMaxHits = 1000;
+constexpr std::size_t kMaxQueryBytes = 16 * 1024;
+constexpr std::uint64_t kMaxMicroseconds = 3600ULL * 1000 * 1000;
+
+// The outcomes that a target can tell by itself.
+constexpr AttemptStatus kToldByTargets[] = {
+    AttemptStatus::kAnswered, AttemptStatus::kShed,
+    AttemptStatus::kDraining, AttemptStatus::kWrongSnapshot,
+    AttemptStatus::kFailed,   AttemptStatus::kCancelled,
+};
+
+std::optional<AttemptStatus> StatusFrom(const std::string& name) {
+  for (AttemptStatus status : kToldByTargets) {
+    if (name == ToString(status)) {
+      return status;
+    }
+  }
+  return std::nullopt;
+}
+
+SnapshotId ReadSnapshotId(JsonReader& reader) {
+  return {reader.Unsigned("snapshot"), reader.String("digest")};
+}
+
+void ReadAnswered(JsonReader& reader, AttemptOutcome& outcome) {
+  outcome.snapshot = ReadSnapshotId(reader);
+  outcome.part =
+      static_cast<PartNumber>(reader.Unsigned("part", 0, UINT32_MAX));
+  outcome.documents = reader.Unsigned("documents");
+  outcome.queue_time =
+      microseconds(reader.UnsignedOr("queue_us", 0, 0, kMaxMicroseconds));
+  for (const json& item : reader.Array("hits", kMaxHits)) {
+    JsonReader hit(item, "hits");
+    Hit one;
+    one.document = hit.String("document");
+    if (hit.Has("score") && item["score"].is_number()) {
+      one.score = item["score"].get<double>();
+    } else {
+      hit.Note("score", "must be a number");
+    }
+    outcome.hits.push_back(std::move(one));
+    reader.NoteFrom(hit);
+  }
+}
+
+}  // namespace
+
+std::string ToJson(const RunRequest& request) {
+  json document = {{"attempt", request.attempt},
+                   {"group", request.group},
+                   {"snapshot", request.snapshot.number},
+                   {"digest", request.snapshot.digest},
+                   {"part", request.part},
+                   {"query", request.query},
+                   {"budget_us", request.budget.count()}};
+  if (!request.idempotency_key.empty()) {
+    document["idempotency_key"] = request.idempotency_key;
+  }
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<RunRequest> ParseRunRequest(std::string_view text) {
+  Result<json> document = ParseJson(text);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  JsonReader reader(*document);
+  RunRequest request;
+  request.attempt = reader.String("attempt");
+  request.group = reader.String("group");
+  request.snapshot = ReadSnapshotId(reader);
+  request.part =
+      static_cast<PartNumber>(reader.Unsigned("part", 0, UINT32_MAX));
+  request.query = reader.String("query", kMaxQueryBytes);
+  request.budget =
+      microseconds(reader.Unsigned("budget_us", 0, kMaxMicroseconds));
+  request.idempotency_key = reader.StringOr("idempotency_key", "");
+  if (!reader.ok()) {
+    return Fail(ErrorKind::kBadRequest, reader.fault());
+  }
+  return request;
+}
+
+std::string ToJson(const RunAnswer& answer) {
+  const AttemptOutcome& outcome = answer.outcome;
+  json document = {{"attempt", answer.attempt},
+                   {"status", ToString(outcome.status)}};
+  if (outcome.status == AttemptStatus::kShed) {
+    document["retry_after_us"] = outcome.retry_after.count();
+  }
+  if (outcome.status == AttemptStatus::kAnswered) {
+    document["snapshot"] = outcome.snapshot.number;
+    document["digest"] = outcome.snapshot.digest;
+    document["part"] = outcome.part;
+    document["documents"] = outcome.documents;
+    document["queue_us"] = outcome.queue_time.count();
+    json hits = json::array();
+    for (const Hit& hit : outcome.hits) {
+      hits.push_back({{"document", hit.document}, {"score", hit.score}});
+    }
+    document["hits"] = std::move(hits);
+  }
+  return document.dump();
+}
+
+Result<RunAnswer> ParseRunAnswer(std::string_view text) {
+  Result<json> document = ParseJson(text);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  JsonReader reader(*document);
+  RunAnswer answer;
+  answer.attempt = reader.String("attempt");
+  const auto status = StatusFrom(reader.String("status"));
+  if (!status) {
+    reader.Note("status", "unknown");
+  } else {
+    answer.outcome.status = *status;
+  }
+  if (answer.outcome.status == AttemptStatus::kAnswered) {
+    ReadAnswered(reader, answer.outcome);
+  }
+  answer.outcome.retry_after =
+      microseconds(reader.UnsignedOr("retry_after_us", 0, 0, kMaxMicroseconds));
+  if (!reader.ok()) {
+    return Fail(ErrorKind::kBadRequest, reader.fault());
+  }
+  return answer;
+}
+
+int HttpStatusOf(AttemptStatus status) {
+  switch (status) {
+    case AttemptStatus::kAnswered:
+      return 200;
+    case AttemptStatus::kShed:
+      return 429;
+    case AttemptStatus::kDraining:
+    case AttemptStatus::kWrongSnapshot:
+    case AttemptStatus::kCancelled:
+      return 409;
+    default:
+      return 500;
+  }
+}
+
+AttemptOutcome OutcomeOf(const HttpCallResult& result,
+                         const std::string& attempt) {
+  AttemptOutcome outcome;
+  switch (result.status) {
+    case HttpCallStatus::kNotSent:
+      outcome.status = AttemptStatus::kNotSent;
+      return outcome;
+    case HttpCallStatus::kLost:
+      outcome.status = AttemptStatus::kLost;
+      return outcome;
+    case HttpCallStatus::kTimeout:
+    case HttpCallStatus::kAborted:
+      outcome.status = AttemptStatus::kCancelled;
+      return outcome;
+    case HttpCallStatus::kAnswered:
+      break;
+  }
+  Result<RunAnswer> answer = ParseRunAnswer(result.body);
+  if (!answer || answer->attempt != attempt) {
+    outcome.status = AttemptStatus::kFailed;
+    return outcome;
+  }
+  return answer->outcome;
+}
+
+ProbeState ProbeStateOf(const HttpCallResult& result) {
+  if (result.status != HttpCallStatus::kAnswered) {
+    return ProbeState::kUnreachable;
+  }
+  Result<json> document = ParseJson(result.body);
+  if (!document) {
+    return ProbeState::kUnreachable;
+  }
+  JsonReader reader(*document);
+  const std::string state = reader.String("state");
+  if (state == "running") {
+    return ProbeState::kRunning;
+  }
+  if (state == "finished") {
+    return ProbeState::kFinished;
+  }
+  return state == "unknown" ? ProbeState::kUnknown : ProbeState::kUnreachable;
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -1,5 +1,7 @@
 #include "snipeworks/target_view.h"
 
+#include <xxhash.h>
+
 namespace snipeworks {
 
 namespace {
@@ -45,6 +47,11 @@
   return &found->second.announcement;
 }
 
+const Announcement* TargetView::Find(std::string_view target) const {
+  auto found = records_.find(target);
+  return found == records_.end() ? nullptr : &found->second.announcement;
+}
+
 std::vector<const Announcement*> TargetView::All() const {
   std::vector<const Announcement*> result;
   for (const auto& [name, record] : records_) {
@@ -83,6 +90,18 @@
   return now - found->second.heard_at;
 }
 
+std::uint64_t TargetView::Digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [name, record] : records_) {
+    Announcement stable = record.announcement;
+    stable.sequence = 0;
+    stable.queued = 0;
+    const std::string text = ToJson(stable);
+    digest ^= XXH3_64bits(text.data(), text.size());
+  }
+  return digest;
+}
+
 void TargetView::Prune(Instant now) {
   std::erase_if(records_, [&](const auto& entry) {
     return now - entry.second.heard_at > lease_ * kLeasesRemembered;
--- /dev/null
+++ b/src/libsnipeworks/trace.cpp
@@ -0,0 +1,115 @@
+#include "snipeworks/trace.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace snipeworks {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kTraceIdDigits = 32;
+constexpr std::size_t kSpanIdDigits = 16;
+// "00-" trace id "-" span id "-" flags.
+constexpr std::size_t kHeaderLength = 55;
+constexpr std::size_t kSpanIdAt = 36;
+constexpr std::size_t kFlagsAt = 53;
+
+std::string Hex(std::uint64_t value) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text(kSpanIdDigits, '0');
+  for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+    *digit = kDigits[value & 0xF];
+    value >>= 4;
+  }
+  return text;
+}
+
+bool IsHex(std::string_view text) {
+  return std::ranges::all_of(
+      text, [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+std::string Nanoseconds(std::chrono::system_clock::time_point time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(
+                            time.time_since_epoch())
+                            .count());
+}
+
+json StringAttribute(const std::string& name, const std::string& value) {
+  return {{"key", name}, {"value", {{"stringValue", value}}}};
+}
+
+}  // namespace
+
+std::optional<TraceContext> TraceContext::Parse(std::string_view text) {
+  const bool shaped = text.size() == kHeaderLength &&
+                      text.substr(0, 3) == "00-" &&
+                      text[kSpanIdAt - 1] == '-' && text[kFlagsAt - 1] == '-';
+  if (!shaped) {
+    return std::nullopt;
+  }
+  TraceContext context;
+  context.trace_id = std::string(text.substr(3, kTraceIdDigits));
+  context.span_id = std::string(text.substr(kSpanIdAt, kSpanIdDigits));
+  const std::string_view flags = text.substr(kFlagsAt);
+  if (!IsHex(context.trace_id) || !IsHex(context.span_id) || !IsHex(flags)) {
+    return std::nullopt;
+  }
+  context.sampled = flags[1] % 2 == 1;
+  return context;
+}
+
+TraceContext TraceContext::New(Random& random, bool sampled) {
+  return {Hex(random.Next()) + Hex(random.Next()), Hex(random.Next()), sampled};
+}
+
+TraceContext TraceContext::Child(Random& random) const {
+  return {trace_id, Hex(random.Next()), sampled};
+}
+
+std::string TraceContext::ToHeader() const {
+  return "00-" + trace_id + "-" + span_id + (sampled ? "-01" : "-00");
+}
+
+SpanWriter::SpanWriter(const std::string& path, std::string service)
+    : service_(std::move(service)) {
+  if (!path.empty()) {
+    file_.open(path, std::ios::app);
+  }
+}
+
+void SpanWriter::Write(const Span& span) {
+  if (!enabled() || !span.context.sampled) {
+    return;
+  }
+  json attributes = json::array();
+  for (const SpanAttribute& attribute : span.attributes) {
+    attributes.push_back(StringAttribute(attribute.name, attribute.value));
+  }
+  json body = {{"traceId", span.context.trace_id},
+               {"spanId", span.context.span_id},
+               {"name", span.name},
+               {"startTimeUnixNano", Nanoseconds(span.start)},
+               {"endTimeUnixNano", Nanoseconds(span.end)},
+               {"attributes", std::move(attributes)}};
+  if (!span.parent_span_id.empty()) {
+    body["parentSpanId"] = span.parent_span_id;
+  }
+  const json resource = {
+      {"attributes", {StringAttribute("service.name", service_)}}};
+  const json document = {
+      {"resourceSpans",
+       {{{"resource", resource},
+         {"scopeSpans", {{{"spans", {std::move(body)}}}}}}}}};
+  const std::lock_guard lock(mutex_);
+  file_ << document.dump(-1, ' ', false, json::error_handler_t::replace)
+        << std::endl;
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/snipe-entry/entry_api.cpp
@@ -0,0 +1,262 @@
+#include "entry_api.h"
+
+#include <future>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "snipeworks/caller_api.h"
+#include "snipeworks/json_reader.h"
+
+namespace snipeworks {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
+constexpr unsigned kIdleTimeoutS = 60;
+constexpr std::size_t kMaxActionBytes = 16 * 1024;
+
+HttpResponse Text(int status, std::string body) {
+  return {status, "text/plain", std::move(body), {}, false};
+}
+
+HttpResponse NotFound(const HttpRequest& request) {
+  return Text(404, "unknown path " + request.path + "\n");
+}
+
+HttpResponse ToHttp(const ActionAnswer& answer) {
+  json document = json::parse(answer.body, nullptr, false);
+  document["ran"] = "yes";
+  document["replayed"] = answer.replayed;
+  HttpResponse response;
+  response.body = document.dump() + "\n";
+  return response;
+}
+
+Result<ActionRequest> ParseAction(const std::string& group,
+                                  const HttpRequest& http) {
+  auto search = ParseSearch(group, http);
+  if (!search) {
+    return tl::unexpected(search.error());
+  }
+  ActionRequest request;
+  request.group = group;
+  request.caller = search->caller;
+  request.key = std::string(http.Header(kKeyHeader));
+  request.body = search->query;
+  if (request.caller.empty()) {
+    return Fail(ErrorKind::kBadRequest,
+                std::string(kCallerHeader) + ": is needed");
+  }
+  if (!CreationOfKey(request.key)) {
+    return Fail(ErrorKind::kBadRequest,
+                std::string(kKeyHeader) +
+                    ": must be SECONDS-SINCE-1970.TOKEN with a token of at "
+                    "least 8 bytes");
+  }
+  if (request.body.size() > kMaxActionBytes) {
+    return Fail(ErrorKind::kTooLarge, "query: must have at most 16384 bytes");
+  }
+  if (search->budget) {
+    if (*search->budget <= Duration{}) {
+      return Fail(ErrorKind::kBadRequest, "deadline: must be at least 1 ms");
+    }
+    request.budget = *search->budget;
+  }
+  return request;
+}
+
+}  // namespace
+
+Result<void> EntryApi::Start() {
+  HttpServerConfig config;
+  config.address = host_.settings().http();
+  config.max_body_bytes = kMaxBodyBytes;
+  config.idle_timeout_s = kIdleTimeoutS;
+  auto server = HttpServer::Start(
+      config, [this](const HttpRequest& request) { return Handle(request); });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  server_ = std::move(*server);
+  return {};
+}
+
+template <typename T>
+T EntryApi::OnLoop(std::function<T()> task) {
+  std::promise<T> promise;
+  auto future = promise.get_future();
+  loop_.Post([&] { promise.set_value(task()); });
+  return future.get();
+}
+
+HttpResponse EntryApi::Handle(const HttpRequest& request) {
+  HttpResponse response = Route(request);
+  response.close = response.close || closing_;
+  return response;
+}
+
+HttpResponse EntryApi::Route(const HttpRequest& request) {
+  const bool post = request.method == "POST";
+  if (post) {
+    const std::string searched = GroupInPath(request.path, "search");
+    if (!searched.empty()) {
+      return OnSearch(searched, request);
+    }
+    const std::string acted = GroupInPath(request.path, "actions");
+    if (!acted.empty()) {
+      return OnAction(acted, request);
+    }
+    if (request.path == "/v1/announcements") {
+      return OnAnnouncement(request);
+    }
+    if (request.path == "/v1/quarantine/release") {
+      return OnRelease(request);
+    }
+    if (request.path == "/v1/faults" && host_.settings().allow_faults()) {
+      return OnFaults(request);
+    }
+    return NotFound(request);
+  }
+  if (request.path == "/healthz") {
+    return Text(200, "ok\n");
+  }
+  if (request.path == "/readyz") {
+    const bool ready = OnLoop<bool>([this] { return host_.ready(); });
+    return ready ? Text(200, "ready\n") : Text(503, "not ready\n");
+  }
+  if (request.path == "/metrics") {
+    return OnMetrics();
+  }
+  if (request.path == "/v1/status") {
+    return OnStatus();
+  }
+  return NotFound(request);
+}
+
+HttpResponse EntryApi::OnSearch(const std::string& group,
+                                const HttpRequest& http) {
+  auto request = ParseSearch(group, http);
+  if (!request) {
+    return snipeworks::ToHttp(request.error());
+  }
+  request->trace_parent = std::string(http.Header("traceparent"));
+  std::promise<Result<SearchAnswer>> promise;
+  auto future = promise.get_future();
+  loop_.Post([&] {
+    host_.Search(std::move(*request), [&](const Result<SearchAnswer>& result) {
+      promise.set_value(result);
+    });
+  });
+  const Result<SearchAnswer> result = future.get();
+  return result ? snipeworks::ToHttp(*result)
+                : snipeworks::ToHttp(result.error());
+}
+
+HttpResponse EntryApi::OnAction(const std::string& group,
+                                const HttpRequest& http) {
+  auto request = ParseAction(group, http);
+  if (!request) {
+    return snipeworks::ToHttp(request.error());
+  }
+  request->trace_parent = std::string(http.Header("traceparent"));
+  std::promise<Result<ActionAnswer>> promise;
+  auto future = promise.get_future();
+  loop_.Post([&] {
+    host_.Act(std::move(*request), [&](const Result<ActionAnswer>& result) {
+      promise.set_value(result);
+    });
+  });
+  const Result<ActionAnswer> result = future.get();
+  return result ? ToHttp(*result) : snipeworks::ToHttp(result.error());
+}
+
+HttpResponse EntryApi::OnAnnouncement(const HttpRequest& http) {
+  auto announcement = ParseAnnouncement(http.body);
+  if (!announcement) {
+    return snipeworks::ToHttp(announcement.error());
+  }
+  loop_.Post([this, announcement = std::move(*announcement)] {
+    host_.Announce(announcement);
+  });
+  return Text(202, "");
+}
+
+HttpResponse EntryApi::OnStatus() {
+  const json document = OnLoop<json>([this] {
+    const Instant now = MonotonicNow();
+    const EntryGauges gauges = host_.Gauges();
+    json targets = json::array();
+    const TargetView& view = host_.searches().view();
+    for (const Announcement* one : view.All()) {
+      const bool draining = one->state == TargetState::kDraining;
+      const Duration age = view.Age(now, one->target).value_or(Duration{});
+      targets.push_back({{"target", one->target},
+                         {"group", one->group},
+                         {"zone", one->zone},
+                         {"address", one->address},
+                         {"state", draining ? "draining" : "serving"},
+                         {"usable", view.Usable(now, one->target) != nullptr},
+                         {"silent_ms", age.count() / 1000}});
+    }
+    json quarantined = json::array();
+    for (Fingerprint fingerprint : host_.searches().Quarantined(now)) {
+      quarantined.push_back(std::to_string(fingerprint));
+    }
+    return json{{"host", host_.settings().host()},
+                {"zone", host_.settings().zone()},
+                {"ready", gauges.ready},
+                {"settings_version", gauges.settings_version},
+                {"running", gauges.running},
+                {"waiting", gauges.waiting},
+                {"targets", std::move(targets)},
+                {"quarantined", std::move(quarantined)}};
+  });
+  return {200, "application/json", document.dump() + "\n", {}, false};
+}
+
+HttpResponse EntryApi::OnRelease(const HttpRequest& http) {
+  auto document = ParseJson(http.body);
+  if (!document) {
+    return snipeworks::ToHttp(document.error());
+  }
+  JsonReader reader(*document);
+  const std::string text = reader.String("fingerprint");
+  const bool number = !text.empty() &&
+                      text.find_first_not_of("0123456789") == text.npos &&
+                      text.size() <= 20;
+  if (!reader.ok() || !number) {
+    return Text(400, "fingerprint: must be a number in a string\n");
+  }
+  const Fingerprint fingerprint = std::strtoull(text.c_str(), nullptr, 10);
+  const bool released = OnLoop<bool>(
+      [this, fingerprint] { return host_.searches().Release(fingerprint); });
+  return released ? Text(200, "released\n") : Text(404, "not held\n");
+}
+
+HttpResponse EntryApi::OnFaults(const HttpRequest& http) {
+  auto document = ParseJson(http.body);
+  if (!document) {
+    return snipeworks::ToHttp(document.error());
+  }
+  JsonReader reader(*document);
+  const std::string address = reader.String("address");
+  if (!reader.ok()) {
+    return Text(400, reader.fault() + "\n");
+  }
+  const bool cut = document->value("cut", true);
+  loop_.Post(
+      [this, address, cut] { host_.peer_client().SetCut(address, cut); });
+  return Text(200, "ok\n");
+}
+
+HttpResponse EntryApi::OnMetrics() {
+  const auto gauges = OnLoop<EntryGauges>([this] { return host_.Gauges(); });
+  HttpResponse response = Text(200, host_.metrics().Page(gauges));
+  response.content_type = "text/plain; version=0.0.4";
+  return response;
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/snipe-entry/entry_host.cpp
@@ -0,0 +1,287 @@
+#include "entry_host.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kMaxTick = milliseconds(20);
+constexpr Duration kRecordPatience = std::chrono::seconds(30);
+// The claim must leave time to run the request.
+constexpr std::int64_t kClaimShareDivisor = 2;
+// Attempts of actions have this bit.
+constexpr AttemptId kActionBit = AttemptId{1} << 62;
+
+std::uint64_t WallMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+SearchControllerConfig ConfigFor(const HostSettings& settings) {
+  SearchControllerConfig config;
+  config.host = settings.host();
+  config.fleet_hosts = static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, settings.entry_hosts().size()));
+  config.seed = std::random_device()();
+  return config;
+}
+
+}  // namespace
+
+EntryHost::EntryHost(EventLoop& loop, HostSettings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      random_(std::random_device()()),
+      spans_(settings_.traces(), "snipe-entry"),
+      searches_(ConfigFor(settings_)),
+      action_targets_(searches_),
+      actions_(settings_.host(), WallMilliseconds(), action_targets_),
+      keeper_(settings_.data_folder(),
+              [this](const FleetSettings& fleet) {
+                searches_.ApplySettings(fleet);
+              }),
+      peers_(loop, settings_, searches_, keeper_, random_),
+      control_(loop, peers_.client(), settings_.control_hosts()),
+      gateway_(
+          loop,
+          settings_.host() + "-" + std::to_string(WallMilliseconds()),
+          spans_,
+          random_,
+          [this](AttemptId attempt, const AttemptOutcome& outcome) {
+            metrics_.OnOutcome(outcome.status);
+            if ((attempt & kActionBit) != 0) {
+              actions_.OnOutcome(MonotonicNow(), attempt, outcome);
+            } else {
+              searches_.OnOutcome(MonotonicNow(), attempt, outcome);
+            }
+          },
+          [this](AttemptId attempt, ProbeState state) {
+            searches_.OnProbe(MonotonicNow(), attempt, state);
+          }),
+      timer_(loop, [this] {
+        const Instant now = MonotonicNow();
+        searches_.Tick(now);
+        actions_.Tick(now);
+        SetNextTimer();
+      }) {}
+
+Result<void> EntryHost::Start() {
+  auto started = peers_.Start();
+  if (!started) {
+    return started;
+  }
+  loop_.AfterEachTurn([this] { AfterTurn(); });
+  SetNextTimer();
+  return {};
+}
+
+bool EntryHost::informed() const {
+  return keeper_.version() > 0 && peers_.synced();
+}
+
+std::size_t EntryHost::unfinished() const {
+  return running_searches_.size() + actions_.running() + recording_;
+}
+
+void EntryHost::UseSettings(const VersionedSettings& settings) {
+  keeper_.Offer(settings);
+}
+
+TraceContext EntryHost::StartTrace(const std::string& traceparent) {
+  if (auto parent = TraceContext::Parse(traceparent)) {
+    return parent->Child(random_);
+  }
+  const bool sampled = random_.Below(100) < settings_.trace_percent();
+  return TraceContext::New(random_, sampled);
+}
+
+void EntryHost::Search(SearchRequest request, SearchDone done) {
+  const Instant now = MonotonicNow();
+  request.id = next_request_++;
+  RunningSearch& running = running_searches_[request.id];
+  if (auto parent = TraceContext::Parse(request.trace_parent)) {
+    running.parent_span = parent->span_id;
+  }
+  running.context = StartTrace(request.trace_parent);
+  request.trace_parent = running.context.ToHeader();
+  running.request = request;
+  running.done = std::move(done);
+  running.started = now;
+  running.wall_started = std::chrono::system_clock::now();
+  if (!informed()) {
+    FinishOneSearch({request.id, Fail(ErrorKind::kNotReady,
+                                      "settings or targets are not known yet",
+                                      milliseconds(1000))});
+    return;
+  }
+  searches_.Submit(now, std::move(request));
+}
+
+void EntryHost::Act(ActionRequest request, ActionDone done) {
+  request.id = next_request_++;
+  running_actions_[request.id] = {request.group, std::move(done)};
+  if (!informed()) {
+    FinishOneAction({request.id, Fail(ErrorKind::kNotReady,
+                                      "settings or targets are not known yet",
+                                      milliseconds(1000))});
+    return;
+  }
+  request.trace_parent = StartTrace(request.trace_parent).ToHeader();
+  actions_.Submit(MonotonicNow(), std::move(request));
+}
+
+void EntryHost::Announce(const Announcement& announcement) {
+  peers_.OnAnnouncement(announcement);
+  gateway_.SetShare(announcement.address,
+                    searches_.ConnectionShare(announcement));
+}
+
+void EntryHost::SetNextTimer() {
+  const Instant now = MonotonicNow();
+  Duration wait = kMaxTick;
+  if (auto due = searches_.NextDue()) {
+    wait = std::min(wait, *due - now);
+  }
+  if (auto due = actions_.NextDue()) {
+    wait = std::min(wait, *due - now);
+  }
+  timer_.Set(std::max(Duration{}, wait));
+}
+
+void EntryHost::AfterTurn() {
+  bool acted = false;
+  for (const SearchAction& action : searches_.TakeActions()) {
+    Do(action);
+    acted = true;
+  }
+  for (const ActionStep& step : actions_.TakeSteps()) {
+    Do(step);
+    acted = true;
+  }
+  if (acted) {
+    SetNextTimer();
+  }
+}
+
+void EntryHost::Do(const SearchAction& action) {
+  if (const auto* start = std::get_if<StartAttempt>(&action)) {
+    const AttemptCommand& command = start->command;
+    metrics_.OnAttempt(command.group, command.kind);
+    if (const Announcement* target = searches_.view().Find(command.target)) {
+      gateway_.SetShare(command.address, searches_.ConnectionShare(*target));
+    }
+    gateway_.Start(command);
+  } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+    gateway_.Cancel(cancel->id);
+  } else if (const auto* probe = std::get_if<ProbeAttempt>(&action)) {
+    gateway_.Probe(probe->id);
+  } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
+    FinishOneSearch(*finish);
+  } else if (const auto* share = std::get_if<ShareEvidence>(&action)) {
+    peers_.Share(*share);
+  }
+}
+
+void EntryHost::Do(const ActionStep& step) {
+  if (const auto* claim = std::get_if<ClaimKey>(&step)) {
+    const Duration patience = milliseconds(5000) / kClaimShareDivisor;
+    control_.Propose(claim->command, patience,
+                     [this, id = claim->id](const auto& result) {
+                       actions_.OnClaimResult(MonotonicNow(), id, result);
+                     });
+  } else if (const auto* send = std::get_if<SendAction>(&step)) {
+    metrics_.OnAttempt(send->command.group, send->command.kind);
+    gateway_.Start(send->command);
+  } else if (const auto* record = std::get_if<RecordOutcome>(&step)) {
+    Record(record->command);
+  } else if (const auto* finish = std::get_if<FinishAction>(&step)) {
+    FinishOneAction(*finish);
+  }
+}
+
+void EntryHost::Record(const ControlCommand& command) {
+  ++recording_;
+  control_.Propose(command, kRecordPatience, [this](const auto& result) {
+    --recording_;
+    if (!result) {
+      LOG(ERROR) << "event=outcome_not_recorded";
+    }
+  });
+}
+
+void EntryHost::FinishOneSearch(const FinishSearch& finish) {
+  auto node = running_searches_.extract(finish.id);
+  if (node.empty()) {
+    return;
+  }
+  const RunningSearch& running = node.mapped();
+  metrics_.OnSearch(running.request, finish.result,
+                    MonotonicNow() - running.started);
+  spans_.Write({"entry.search",
+                running.context,
+                running.parent_span,
+                running.wall_started,
+                std::chrono::system_clock::now(),
+                {{"group", running.request.group},
+                 {"outcome",
+                  finish.result
+                      ? "answered"
+                      : std::string(RowOf(finish.result.error().kind).name)}}});
+  running.done(finish.result);
+}
+
+void EntryHost::FinishOneAction(const FinishAction& finish) {
+  auto node = running_actions_.extract(finish.id);
+  if (node.empty()) {
+    return;
+  }
+  const std::string outcome =
+      finish.result ? "ran"
+                    : std::string(RowOf(finish.result.error().kind).name);
+  metrics_.OnAction(node.mapped().group, outcome.c_str());
+  node.mapped().done(finish.result);
+}
+
+EntryGauges EntryHost::Gauges() const {
+  EntryGauges gauges;
+  gauges.running = searches_.running();
+  gauges.waiting = searches_.waiting();
+  const auto all = searches_.view().All();
+  gauges.targets = all.size();
+  const Instant now = MonotonicNow();
+  gauges.targets_usable = static_cast<std::size_t>(
+      std::ranges::count_if(all, [&](const Announcement* one) {
+        return searches_.view().Usable(now, one->target) != nullptr;
+      }));
+  gauges.quarantined = searches_.Quarantined(now).size();
+  gauges.settings_version = keeper_.version();
+  gauges.ready = ready();
+  gauges.peers = peers_.traffic();
+  return gauges;
+}
+
+Result<ActionTarget> EntryHost::Targets::Take(
+    Instant now,
+    const std::string& group,
+    const std::vector<std::string>& tried) {
+  return searches_.TakeTarget(now, group, tried);
+}
+
+void EntryHost::Targets::Release(Instant now,
+                                 const std::string& group,
+                                 const std::string& target,
+                                 const AttemptOutcome& outcome,
+                                 Duration latency) {
+  searches_.ReleaseTarget(now, group, target, outcome, latency);
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/snipe-entry/entry_peers.cpp
@@ -0,0 +1,282 @@
+#include "entry_peers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "snipeworks/control_messages.h"
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kRenewalInterval = milliseconds(250);
+constexpr Duration kControlInterval = milliseconds(500);
+constexpr Duration kCallTimeout = milliseconds(1000);
+// Bounds the wait before a suspected request runs once more.
+constexpr Duration kEvidenceTimeout = milliseconds(50);
+// Without another entry host to ask, targets announce themselves within this.
+constexpr Duration kFirstViewWait = milliseconds(2500);
+
+std::int64_t AgeOf(const TargetView& view, const std::string& target) {
+  return view.Age(MonotonicNow(), target).value_or(Duration{}).count();
+}
+
+}  // namespace
+
+EntryPeers::EntryPeers(EventLoop& loop,
+                       const HostSettings& settings,
+                       SearchController& controller,
+                       SettingsKeeper& keeper,
+                       Random& random)
+    : loop_(loop),
+      settings_(settings),
+      controller_(controller),
+      keeper_(keeper),
+      random_(random),
+      client_(loop) {
+  for (const PeerHost& host : settings.entry_hosts()) {
+    if (host.host != settings.host()) {
+      others_.push_back(host.address.ToString());
+    }
+  }
+}
+
+Result<void> EntryPeers::Start() {
+  auto server = PeerServer::Start(
+      loop_, settings_.peer(),
+      [this](const std::string& path, const std::string& payload,
+             const PeerServer::Reply& reply) { OnCall(path, payload, reply); });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  server_ = std::move(*server);
+  FetchFirstView();
+  loop_.After(kFirstViewWait, [this] { synced_ = true; });
+  loop_.Every(kRenewalInterval, [this] { SendRenewals(); });
+  PollControl();
+  loop_.Every(kControlInterval, [this] { PollControl(); });
+  return {};
+}
+
+PeerTraffic EntryPeers::traffic() const {
+  PeerTraffic sum = client_.traffic();
+  if (server_) {
+    sum.bytes_sent += server_->traffic().bytes_sent;
+    sum.bytes_received += server_->traffic().bytes_received;
+    sum.calls_received += server_->traffic().calls_received;
+  }
+  return sum;
+}
+
+void EntryPeers::OnAnnouncement(const Announcement& announcement) {
+  switch (controller_.Announce(MonotonicNow(), announcement)) {
+    case AnnounceResult::kOld:
+      return;
+    case AnnounceResult::kChange:
+      SpreadChange(announcement);
+      return;
+    case AnnounceResult::kRenewal:
+      renewals_.push_back({announcement.target, announcement.incarnation,
+                           announcement.sequence, announcement.queued, 0});
+      renewed_at_.push_back(MonotonicNow());
+      return;
+  }
+}
+
+// A change goes on from every host that hears of it for the first time, so
+// that one cut link does not hold it up.
+void EntryPeers::SpreadChange(const Announcement& announcement) {
+  const AnnouncementBatch batch{
+      settings_.host(),
+      {{announcement, AgeOf(controller_.view(), announcement.target)}}};
+  const std::string payload = Encode(batch);
+  for (const std::string& address : others_) {
+    client_.Call(address, kChangesPath, payload, kCallTimeout,
+                 [](const PeerResult&) {});
+  }
+}
+
+void EntryPeers::SendRenewals() {
+  RenewalBatch batch;
+  batch.host = settings_.host();
+  batch.view_digest = controller_.view().Digest();
+  batch.settings_version = keeper_.version();
+  batch.renewals = std::exchange(renewals_, {});
+  const std::vector<Instant> heard = std::exchange(renewed_at_, {});
+  const Instant now = MonotonicNow();
+  for (std::size_t i = 0; i < batch.renewals.size(); ++i) {
+    batch.renewals[i].age_us = (now - heard[i]).count();
+  }
+  const std::string payload = Encode(batch);
+  for (const std::string& address : others_) {
+    client_.Call(address, kRenewalsPath, payload, kCallTimeout,
+                 [](const PeerResult&) {});
+  }
+}
+
+void EntryPeers::TakeRenewals(const std::string& payload) {
+  auto batch = Decode<RenewalBatch>(payload);
+  if (!batch) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  bool missing = false;
+  for (const Renewal& renewal : batch->renewals) {
+    const Announcement* known = controller_.view().Find(renewal.target);
+    if (known == nullptr || known->incarnation != renewal.incarnation) {
+      missing = true;
+      continue;
+    }
+    Announcement renewed = *known;
+    renewed.sequence = renewal.sequence;
+    renewed.queued = renewal.queued;
+    controller_.Announce(now, renewed, Duration(renewal.age_us));
+  }
+  const auto sender =
+      std::ranges::find(settings_.entry_hosts(), batch->host, &PeerHost::host);
+  if (sender == settings_.entry_hosts().end()) {
+    return;
+  }
+  const std::string address = sender->address.ToString();
+  const bool differs = batch->view_digest != controller_.view().Digest();
+  // One in four differing batches is followed up, about once a second: a
+  // change that is on its way needs no second copy.
+  if (missing || (differs && random_.Below(4) == 0)) {
+    FetchView(address);
+  }
+  if (batch->settings_version > keeper_.version()) {
+    FetchSettings(address, kSettingsPath);
+  }
+}
+
+void EntryPeers::TakeAnnouncements(const std::string& payload,
+                                   bool spread_changes) {
+  auto batch = Decode<AnnouncementBatch>(payload);
+  if (!batch) {
+    LOG(WARNING) << "event=bad_announcements bytes=" << payload.size();
+    return;
+  }
+  const Instant now = MonotonicNow();
+  for (const RelayedAnnouncement& relayed : batch->announcements) {
+    const AnnounceResult result = controller_.Announce(
+        now, relayed.announcement, Duration(relayed.age_us));
+    if (spread_changes && result == AnnounceResult::kChange) {
+      SpreadChange(relayed.announcement);
+    }
+  }
+}
+
+std::string EntryPeers::ViewInFull() const {
+  AnnouncementBatch batch;
+  batch.host = settings_.host();
+  for (const Announcement* announcement : controller_.view().All()) {
+    batch.announcements.push_back(
+        {*announcement, AgeOf(controller_.view(), announcement->target)});
+  }
+  return Encode(batch);
+}
+
+void EntryPeers::FetchView(const std::string& address) {
+  client_.Call(address, kViewPath, "", kCallTimeout,
+               [this](const PeerResult& result) {
+                 if (result) {
+                   TakeAnnouncements(*result, false);
+                   synced_ = true;
+                 }
+               });
+}
+
+void EntryPeers::FetchFirstView() {
+  for (const std::string& address : others_) {
+    FetchView(address);
+  }
+}
+
+void EntryPeers::FetchSettings(const std::string& address, const char* path) {
+  const SettingsQuery query{settings_.host(), keeper_.version()};
+  client_.Call(address, path, Encode(query), kCallTimeout,
+               [this](const PeerResult& result) {
+                 if (!result) {
+                   return;
+                 }
+                 if (auto offer = Decode<VersionedSettings>(*result)) {
+                   keeper_.Offer(*offer);
+                 }
+               });
+}
+
+// Asks the control hosts in turn; any of them tells what it has applied.
+void EntryPeers::PollControl() {
+  const auto& hosts = settings_.control_hosts();
+  if (!hosts.empty()) {
+    FetchSettings(hosts[next_control_++ % hosts.size()].address.ToString(),
+                  kControlSettingsPath);
+  }
+  if (keeper_.version() == 0) {
+    for (const std::string& address : others_) {
+      FetchSettings(address, kSettingsPath);
+    }
+  }
+}
+
+void EntryPeers::Share(const ShareEvidence& share) {
+  const std::string payload = Encode(EvidenceMessage::From(share.evidence));
+  const Fingerprint fingerprint = share.evidence.fingerprint;
+  if (others_.empty() && share.confirm) {
+    loop_.Post([this, fingerprint] {
+      controller_.OnEvidenceShared(MonotonicNow(), fingerprint, false);
+    });
+  }
+  struct Tally {
+    std::size_t open = 0;
+    bool running = false;
+  };
+  auto tally = std::make_shared<Tally>(Tally{others_.size(), false});
+  for (const std::string& address : others_) {
+    client_.Call(address, kEvidencePath, payload, kEvidenceTimeout,
+                 [this, tally, fingerprint,
+                  confirm = share.confirm](const PeerResult& result) {
+                   if (result) {
+                     auto reply = Decode<EvidenceReply>(*result);
+                     tally->running |= reply && reply->running;
+                   }
+                   if (--tally->open == 0 && confirm) {
+                     controller_.OnEvidenceShared(MonotonicNow(), fingerprint,
+                                                  tally->running);
+                   }
+                 });
+  }
+}
+
+void EntryPeers::OnCall(const std::string& path,
+                        const std::string& payload,
+                        const PeerServer::Reply& reply) {
+  if (path == kChangesPath) {
+    TakeAnnouncements(payload, true);
+    reply(std::string());
+  } else if (path == kRenewalsPath) {
+    TakeRenewals(payload);
+    reply(std::string());
+  } else if (path == kViewPath) {
+    reply(ViewInFull());
+  } else if (path == kSettingsPath) {
+    reply(Encode(keeper_.current()));
+  } else if (path == kEvidencePath) {
+    auto message = Decode<EvidenceMessage>(payload);
+    if (!message) {
+      reply(tl::unexpected(PeerFailure::kRejected));
+      return;
+    }
+    const bool running =
+        controller_.OnEvidence(MonotonicNow(), message->ToEvidence());
+    reply(Encode(EvidenceReply{running}));
+  } else {
+    reply(tl::unexpected(PeerFailure::kRejected));
+  }
+}
+
+}  // namespace snipeworks
--- a/src/snipe-entry/main.cpp
+++ b/src/snipe-entry/main.cpp
@@ -1,1 +1,147 @@
-int main() { return 0; }
+// snipe-entry: an entry host, between callers and targets.
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+
+#include <glog/logging.h>
+
+#include "entry_api.h"
+#include "entry_host.h"
+#include "snipeworks/program.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kDrainCheck = milliseconds(20);
+// A request that never ends must not keep the host from stopping.
+constexpr Duration kDrainLimit = std::chrono::seconds(65);
+
+// Takes a host out of service without cutting anything off: readiness goes
+// first, so that the balancer looks away; then the listener; then, when all
+// that is in flight has been answered, the program ends.
+class Shutdown {
+ public:
+  Shutdown(EventLoop& loop, EntryHost& host, EntryApi& api)
+      : loop_(loop), host_(host), api_(api) {}
+
+  void Start() {
+    if (std::exchange(started_, true)) {
+      return;
+    }
+    LOG(INFO) << "event=shutting_down running=" << host_.unfinished();
+    api_.CloseConnections();
+    host_.StartLeaving();
+    loop_.After(milliseconds(host_.settings().shutdown_hold_ms()), [this] {
+      api_.StopAccepting();
+      loop_.Every(kDrainCheck, [this] { StopIfIdle(); });
+    });
+    loop_.After(milliseconds(host_.settings().shutdown_hold_ms()) + kDrainLimit,
+                [this] {
+                  LOG(ERROR) << "event=shutdown_gave_up running="
+                             << host_.unfinished();
+                  loop_.Stop();
+                });
+  }
+
+ private:
+  void StopIfIdle() {
+    const bool idle = host_.unfinished() == 0 && api_.in_flight() == 0;
+    idle_checks_ = idle ? idle_checks_ + 1 : 0;
+    // A request can be on its way from a server thread to the loop.
+    if (idle_checks_ >= 3) {
+      loop_.Stop();
+    }
+  }
+
+  EventLoop& loop_;
+  EntryHost& host_;
+  EntryApi& api_;
+  bool started_ = false;
+  int idle_checks_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options = ProgramOptions(
+      "snipe-entry", "Answers callers from the targets of a fleet.");
+  options.add_options()("settings", "Settings file of this host",
+                        cxxopts::value<std::string>())(
+      "fleet-settings", "Fleet settings for a host that has no control hosts",
+      cxxopts::value<std::string>())("check",
+                                     "Check the settings files and exit");
+  ParsedOptions parsed = ReadOptions(options, argc, argv);
+  if (parsed.exit) {
+    return parsed.exit_code;
+  }
+  if (parsed.result.count("settings") == 0) {
+    return UsageError("snipe-entry", "--settings is needed");
+  }
+  const auto path = parsed.result["settings"].as<std::string>();
+  auto settings = ReadFile(path).and_then(
+      [](const std::string& text) { return HostSettings::Parse(text); });
+  if (!settings) {
+    return UsageError("snipe-entry", path + ": " + settings.error().detail);
+  }
+  std::optional<std::string> fleet_text;
+  if (parsed.result.count("fleet-settings") > 0) {
+    const auto fleet_path = parsed.result["fleet-settings"].as<std::string>();
+    auto text = ReadFile(fleet_path);
+    auto fleet = text.and_then([](const std::string& content) {
+      return FleetSettings::Parse(content);
+    });
+    if (!fleet) {
+      return UsageError("snipe-entry",
+                        fleet_path + ": " + fleet.error().detail);
+    }
+    if (!settings->control_hosts().empty()) {
+      return UsageError("snipe-entry",
+                        "--fleet-settings goes with no control hosts");
+    }
+    fleet_text = std::move(*text);
+  } else if (settings->control_hosts().empty()) {
+    return UsageError("snipe-entry",
+                      path +
+                          ": without control_hosts, --fleet-settings is "
+                          "needed");
+  }
+  if (parsed.result.count("check") > 0) {
+    std::cout << path << ": ok\n";
+    return kExitOk;
+  }
+
+  EventLoop loop;
+  EntryHost host(loop, *settings);
+  if (fleet_text) {
+    host.UseSettings({1, *fleet_text});
+  }
+  if (auto started = host.Start(); !started) {
+    LOG(ERROR) << "event=start_failed reason=\"" << started.error().detail
+               << "\"";
+    return kExitFailed;
+  }
+  EntryApi api(loop, host);
+  if (auto started = api.Start(); !started) {
+    LOG(ERROR) << "event=start_failed reason=\"" << started.error().detail
+               << "\"";
+    return kExitFailed;
+  }
+  Shutdown shutdown(loop, host, api);
+  loop.OnSignal(SIGTERM, [&] { shutdown.Start(); });
+  loop.OnSignal(SIGINT, [&] { shutdown.Start(); });
+  LOG(INFO) << "event=started host=" << settings->host()
+            << " zone=" << settings->zone()
+            << " http=" << settings->http().ToString();
+  loop.Run();
+  LOG(INFO) << "event=stopped host=" << settings->host();
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace snipeworks
+
+int main(int argc, char** argv) {
+  return snipeworks::Main(argc, argv);
+}
--- /dev/null
+++ b/src/snipe-load/history_check.h
@@ -0,0 +1,54 @@
+#ifndef SNIPE_LOAD_HISTORY_CHECK_H_
+#define SNIPE_LOAD_HISTORY_CHECK_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace snipeworks {
+
+/// Compares what callers were told with what targets ran:
+/// an answer belongs to its request, comes from one snapshot, and covers what
+/// targets ran; what "was not run" never started; what is not repeatable
+/// started at most once.
+class HistoryCheck {
+ public:
+  /// Takes a line of a target's history.
+  void AddTargetEvent(const nlohmann::json& event);
+  /// Takes a line of a caller's history.
+  void AddAnswer(const nlohmann::json& answer);
+
+  /// The faults found, at most a hundred.
+  std::vector<std::string> Faults() const;
+  std::size_t answers() const { return answers_.size(); }
+  std::size_t starts() const { return starts_; }
+
+ private:
+  struct RanPart {
+    std::string digest;
+    std::uint64_t part = 0;
+    friend auto operator<=>(const RanPart&, const RanPart&) = default;
+  };
+
+  void CheckHits(const nlohmann::json& answer,
+                 std::vector<std::string>& faults) const;
+  void CheckCoverage(const nlohmann::json& answer,
+                     std::vector<std::string>& faults) const;
+  void CheckRan(const nlohmann::json& answer,
+                std::vector<std::string>& faults) const;
+
+  std::vector<nlohmann::json> answers_;
+  std::map<std::string, std::set<RanPart>> ran_by_trace_;
+  std::map<std::string, int> starts_by_trace_;
+  std::map<std::string, int> starts_by_key_;
+  std::size_t starts_ = 0;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPE_LOAD_HISTORY_CHECK_H_
--- /dev/null
+++ b/src/snipe-load/load_run.h
@@ -0,0 +1,112 @@
+#ifndef SNIPE_LOAD_LOAD_RUN_H_
+#define SNIPE_LOAD_LOAD_RUN_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "snipeworks/event_loop.h"
+#include "snipeworks/history.h"
+#include "snipeworks/http_client.h"
+#include "snipeworks/random.h"
+#include "snipeworks/search.h"
+
+namespace snipeworks {
+
+/// Entry hosts that one arm of a run sends to, in turn, as a balancer would.
+struct LoadArm {
+  std::string name;
+  std::vector<std::string> entries;
+};
+
+/// What a run sends.
+struct LoadPlan {
+  std::vector<LoadArm> arms;
+  std::string group;
+  double rate = 100.0;  ///< Requests a second over all arms.
+  Duration length = std::chrono::seconds(10);
+  Duration warm_up{};  ///< Sent but not counted.
+  /// Arms take turns for this long; zero alternates request by request.
+  Duration slice{};
+  Duration deadline = std::chrono::milliseconds(1000);
+  std::size_t distinct_queries = 1000;
+  std::string query;  ///< Sent instead of made-up ones, if not empty.
+  /// Relative weights of urgent, normal and routine requests.
+  std::vector<double> class_weights = {0.0, 1.0, 0.0};
+  /// Send requests that are not repeatable, each again until its outcome is
+  /// final.
+  bool actions = false;
+  std::uint64_t seed = 1;
+};
+
+/// What was counted for one arm.
+struct ArmResult {
+  std::vector<double> latencies_ms;  ///< Of answers, from the intended time.
+  std::vector<double> refusals_ms;   ///< Of refusals that say "not run".
+  std::map<std::string, std::uint64_t> outcomes;
+  std::map<std::string, std::vector<double>> class_latencies_ms;
+  double coverage_sum = 0.0;
+  double coverage_min = 1.0;
+  std::uint64_t answers = 0;
+  std::uint64_t complete = 0;
+  std::uint64_t sent = 0;
+  AttemptCounts attempts;
+};
+
+/// Sends a plan's requests at their intended times, whatever the answers do.
+class LoadRun {
+ public:
+  LoadRun(EventLoop& loop, LoadPlan plan, HistoryWriter& history);
+
+  /// Starts; the loop is stopped once every request has ended.
+  void Start();
+
+  const std::vector<ArmResult>& results() const { return results_; }
+  const LoadPlan& plan() const { return plan_; }
+
+ private:
+  struct Request {
+    std::size_t arm = 0;
+    std::size_t entry = 0;
+    std::string query;
+    std::string request_class;
+    std::string key;
+    Instant intended{};
+    Instant resend_until{};
+    bool counted = false;
+  };
+
+  void SendDue();
+  Request NewRequest(Instant intended);
+  void Send(Request request);
+  void OnAnswer(Request request,
+                const std::string& trace,
+                Instant sent,
+                const HttpCallResult& result);
+  void Count(const Request& request,
+             const std::string& outcome,
+             const nlohmann::json& body,
+             Instant now);
+  bool ResendLater(const Request& request,
+                   const std::string& outcome,
+                   const HttpCallResult& result);
+  void StopIfDone();
+
+  EventLoop& loop_;
+  LoadPlan plan_;
+  HistoryWriter& history_;
+  HttpClient client_;
+  Random random_;
+  LoopTimer timer_;
+  std::vector<ArmResult> results_;
+  std::vector<std::size_t> next_entry_;
+  Instant started_{};
+  Instant next_due_{};
+  std::uint64_t made_ = 0;
+  std::uint64_t open_ = 0;
+  bool all_sent_ = false;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPE_LOAD_LOAD_RUN_H_
--- /dev/null
+++ b/src/snipe-target/stand_in.cpp
@@ -0,0 +1,425 @@
+#include "stand_in.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <thread>
+#include <utility>
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include "snipeworks/json_reader.h"
+
+namespace snipeworks {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A query with this text kills the process, as some requests do in the field.
+constexpr char kCrashMark[] = "crash-target";
+constexpr int kCrashExitCode = 70;
+constexpr std::size_t kQueuePerSlot = 8;
+constexpr Duration kShedRetryAfter = milliseconds(200);
+constexpr std::size_t kEndedRemembered = 20000;
+constexpr int kHitsPerPart = 3;
+constexpr double kHitScoreRange = 1000.0;
+constexpr Duration kSilenceCheck = milliseconds(100);
+
+HttpResponse JsonResponse(int status, const json& document) {
+  return {status, "application/json", document.dump() + "\n", {}, false};
+}
+
+Duration FromMilliseconds(double value) {
+  return Duration(static_cast<std::int64_t>(value * 1000.0));
+}
+
+// Documents name their snapshot, part and query, so that the history check can
+// tell an answer that belongs to another request.
+std::vector<Hit> HitsFor(const RunRequest& request) {
+  std::vector<Hit> hits;
+  const std::uint64_t query =
+      XXH3_64bits(request.query.data(), request.query.size());
+  for (int i = 0; i < kHitsPerPart; ++i) {
+    const std::uint64_t mixed =
+        XXH3_64bits_withSeed(&query, sizeof(query),
+                             request.part * 16 + static_cast<std::uint64_t>(i));
+    Hit hit;
+    hit.document = request.snapshot.digest + "/" +
+                   std::to_string(request.part) + "/" + std::to_string(query) +
+                   "/" + std::to_string(i);
+    hit.score = static_cast<double>(mixed % 1000) / kHitScoreRange;
+    hits.push_back(std::move(hit));
+  }
+  return hits;
+}
+
+}  // namespace
+
+StandIn::StandIn(TargetPlan plan,
+                 std::uint64_t incarnation,
+                 HistoryWriter& history,
+                 SpanWriter& spans)
+    : plan_(std::move(plan)),
+      history_(history),
+      spans_(spans),
+      random_(incarnation ^ XXH3_64bits(plan_.announcement.target.data(),
+                                        plan_.announcement.target.size())) {
+  plan_.announcement.incarnation = incarnation;
+  knobs_.service = plan_.service;
+}
+
+Result<std::unique_ptr<StandIn>> StandIn::Start(TargetPlan plan,
+                                                std::uint64_t incarnation,
+                                                HistoryWriter& history,
+                                                SpanWriter& spans) {
+  std::unique_ptr<StandIn> target(
+      new StandIn(std::move(plan), incarnation, history, spans));
+  auto address = Address::Parse(target->plan_.announcement.address);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  HttpServerConfig config;
+  config.address = *address;
+  // The limit is the target's own, so that going over it shows as a failure.
+  config.max_connections = target->plan_.announcement.connections;
+  auto server = HttpServer::Start(
+      config, [raw = target.get()](const HttpRequest& request) {
+        return raw->Handle(request);
+      });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  target->server_ = std::move(*server);
+  return target;
+}
+
+StandIn::~StandIn() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  server_.reset();
+}
+
+Announcement StandIn::NextAnnouncement() {
+  const std::lock_guard lock(mutex_);
+  Announcement& announcement = plan_.announcement;
+  announcement.sequence = ++sequence_;
+  announcement.queued = knobs_.lie ? knobs_.reported_queue
+                                   : static_cast<std::uint32_t>(queue_.size());
+  return announcement;
+}
+
+bool StandIn::announces() {
+  const std::lock_guard lock(mutex_);
+  return knobs_.announce;
+}
+
+void StandIn::Drain() {
+  const std::lock_guard lock(mutex_);
+  plan_.announcement.state = TargetState::kDraining;
+}
+
+bool StandIn::Idle() {
+  const std::lock_guard lock(mutex_);
+  return attempts_.empty() && server_->in_flight() == 0;
+}
+
+HttpResponse StandIn::Handle(const HttpRequest& request) {
+  if (IsSilent(request.connection)) {
+    return JsonResponse(503, {{"status", "silent"}});
+  }
+  if (request.path == kRunPath) {
+    ConnectionCost(request.connection);
+    return HandleRun(request);
+  }
+  if (request.path == kCancelPath) {
+    return HandleCancel(request);
+  }
+  if (request.path == kProbePath) {
+    return HandleProbe(request);
+  }
+  if (request.path == "/v1/stand-in") {
+    return HandleKnobs(request);
+  }
+  if (request.path == "/healthz") {
+    ConnectionCost(request.connection);
+    return JsonResponse(
+        200, {{"connections", server_->connections()},
+              {"connections_most", server_->max_connections_seen()}});
+  }
+  return JsonResponse(404, {{"error", "unknown path"}});
+}
+
+void StandIn::ConnectionCost(std::uint64_t connection) {
+  double cost_ms = 0.0;
+  {
+    const std::lock_guard lock(mutex_);
+    if (connection <= newest_connection_) {
+      return;
+    }
+    newest_connection_ = connection;
+    cost_ms = knobs_.service.connect_ms;
+  }
+  std::this_thread::sleep_for(FromMilliseconds(cost_ms));
+}
+
+// Holds the request of a silenced connection until the program stops.
+bool StandIn::IsSilent(std::uint64_t connection) {
+  std::unique_lock lock(mutex_);
+  if (connection > silent_up_to_) {
+    return false;
+  }
+  while (!stopping_) {
+    changed_.wait_for(lock, kSilenceCheck);
+  }
+  return true;
+}
+
+HttpResponse StandIn::HandleRun(const HttpRequest& http) {
+  Result<RunRequest> request = ParseRunRequest(http.body);
+  if (!request) {
+    return JsonResponse(400, {{"error", request.error().detail}});
+  }
+  const auto started = std::chrono::system_clock::now();
+  const auto parent = TraceContext::Parse(http.Header("traceparent"));
+  RunAnswer answer{request->attempt,
+                   Run(*request, parent ? parent->trace_id : "")};
+  if (parent) {
+    TraceContext context = *parent;
+    {
+      const std::lock_guard lock(mutex_);
+      context = parent->Child(random_);
+    }
+    spans_.Write({"target.run",
+                  context,
+                  parent->span_id,
+                  started,
+                  std::chrono::system_clock::now(),
+                  {{"target", plan_.announcement.target},
+                   {"status", ToString(answer.outcome.status)}}});
+  }
+  return {HttpStatusOf(answer.outcome.status),
+          "application/json",
+          ToJson(answer),
+          {},
+          false};
+}
+
+const HeldSnapshot* StandIn::Find(const RunRequest& request) const {
+  for (const HeldSnapshot& held : plan_.announcement.snapshots) {
+    const bool has_part =
+        std::ranges::find(held.parts, request.part) != held.parts.end();
+    if (held.manifest.id == request.snapshot && has_part) {
+      return &held;
+    }
+  }
+  return nullptr;
+}
+
+bool StandIn::Refuses(const RunRequest& request, AttemptOutcome& refusal) {
+  if (ended_.contains(request.attempt)) {
+    refusal.status = AttemptStatus::kCancelled;
+    return true;
+  }
+  if (plan_.announcement.state == TargetState::kDraining) {
+    refusal.status = AttemptStatus::kDraining;
+    return true;
+  }
+  if (Find(request) == nullptr) {
+    refusal.status = AttemptStatus::kWrongSnapshot;
+    return true;
+  }
+  const bool full = queue_.size() >= kQueuePerSlot * plan_.announcement.slots;
+  if (full || random_.Below(100) < knobs_.shed_percent) {
+    refusal.status = AttemptStatus::kShed;
+    refusal.retry_after = kShedRetryAfter;
+    return true;
+  }
+  return false;
+}
+
+bool StandIn::WaitForSlot(const RunRequest& request,
+                          Instant deadline,
+                          std::unique_lock<std::mutex>& lock) {
+  queue_.push_back(request.attempt);
+  const bool turn = changed_.wait_until(lock, deadline, [&] {
+    const bool first = queue_.front() == request.attempt;
+    return stopping_ || attempts_.at(request.attempt) == RunState::kCancelled ||
+           (first && running_ < plan_.announcement.slots);
+  });
+  const bool cancelled =
+      stopping_ || attempts_.at(request.attempt) == RunState::kCancelled;
+  std::erase(queue_, request.attempt);
+  changed_.notify_all();
+  return turn && !cancelled;
+}
+
+Duration StandIn::DrawServiceTime() {
+  const ServiceTime& service = knobs_.service;
+  // Box-Muller, so that a seed gives the same times with every library.
+  const double u = 1.0 - random_.Unit();
+  const double v = random_.Unit();
+  const double normal =
+      std::sqrt(-2.0 * std::log(u)) * std::cos(2.0 * M_PI * v);
+  double ms = service.median_ms * std::exp(service.sigma * normal);
+  if (random_.Unit() * 100.0 < service.straggler_percent) {
+    ms *= service.straggler_factor;
+  }
+  return FromMilliseconds(ms);
+}
+
+AttemptOutcome StandIn::Run(const RunRequest& request,
+                            const std::string& trace) {
+  const Instant arrived = MonotonicNow();
+  const Instant deadline = arrived + request.budget;
+  AttemptOutcome outcome;
+  std::unique_lock lock(mutex_);
+  if (Refuses(request, outcome)) {
+    return outcome;
+  }
+  attempts_[request.attempt] = RunState::kQueued;
+  if (!WaitForSlot(request, deadline, lock)) {
+    attempts_.erase(request.attempt);
+    Remember(request.attempt);
+    outcome.status = AttemptStatus::kCancelled;
+    return outcome;
+  }
+  ++running_;
+  attempts_[request.attempt] = RunState::kRunning;
+  outcome.queue_time =
+      std::chrono::duration_cast<Duration>(MonotonicNow() - arrived);
+  const Duration service = DrawServiceTime();
+  json event = {{"event", "start"},
+                {"target", plan_.announcement.target},
+                {"attempt", request.attempt},
+                {"trace", trace},
+                {"group", request.group},
+                {"snapshot", request.snapshot.number},
+                {"digest", request.snapshot.digest},
+                {"part", request.part},
+                {"key", request.idempotency_key},
+                {"at_us", MonotonicNow().time_since_epoch().count()}};
+  history_.Write(event);
+  if (request.query.find(kCrashMark) != std::string::npos) {
+    _exit(kCrashExitCode);
+  }
+  changed_.wait_until(lock, MonotonicNow() + service, [&] {
+    return stopping_ || attempts_.at(request.attempt) == RunState::kCancelled;
+  });
+  const bool cancelled = attempts_.at(request.attempt) == RunState::kCancelled;
+  --running_;
+  attempts_.erase(request.attempt);
+  Remember(request.attempt);
+  outcome.status =
+      cancelled ? AttemptStatus::kCancelled : AttemptStatus::kAnswered;
+  if (!cancelled) {
+    outcome.snapshot = request.snapshot;
+    outcome.part = request.part;
+    outcome.hits = HitsFor(request);
+    // A part's documents may be asked for after its snapshot was dropped.
+    const HeldSnapshot* held = Find(request);
+    if (held != nullptr) {
+      for (const ManifestPart& part : held->manifest.parts) {
+        outcome.documents += part.part == request.part ? part.documents : 0;
+      }
+    } else {
+      outcome.status = AttemptStatus::kWrongSnapshot;
+    }
+  }
+  event["event"] = "end";
+  event["status"] = ToString(outcome.status);
+  event["at_us"] = MonotonicNow().time_since_epoch().count();
+  changed_.notify_all();
+  lock.unlock();
+  history_.Write(event);
+  return outcome;
+}
+
+void StandIn::Remember(const std::string& attempt) {
+  if (ended_.emplace(attempt, true).second) {
+    ended_order_.push_back(attempt);
+  }
+  if (ended_order_.size() > kEndedRemembered) {
+    ended_.erase(ended_order_.front());
+    ended_order_.pop_front();
+  }
+}
+
+HttpResponse StandIn::HandleCancel(const HttpRequest& http) {
+  Result<json> body = ParseJson(http.body);
+  const std::string attempt =
+      body ? JsonReader(*body).StringOr("attempt", "") : "";
+  const std::lock_guard lock(mutex_);
+  auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    Remember(attempt);
+    return JsonResponse(200, {{"state", "unknown"}});
+  }
+  found->second = RunState::kCancelled;
+  changed_.notify_all();
+  return JsonResponse(200, {{"state", "cancelled"}});
+}
+
+// An attempt that is asked for before it came is refused if it comes later, so
+// that "unknown" is a proof that it was not and will not be run.
+HttpResponse StandIn::HandleProbe(const HttpRequest& http) {
+  Result<json> body = ParseJson(http.body);
+  const std::string attempt =
+      body ? JsonReader(*body).StringOr("attempt", "") : "";
+  const std::lock_guard lock(mutex_);
+  if (attempts_.contains(attempt)) {
+    return JsonResponse(200, {{"state", "running"}});
+  }
+  if (ended_.contains(attempt)) {
+    return JsonResponse(200, {{"state", "finished"}});
+  }
+  Remember(attempt);
+  return JsonResponse(200, {{"state", "unknown"}});
+}
+
+HttpResponse StandIn::HandleKnobs(const HttpRequest& http) {
+  Result<json> parsed = ParseJson(http.body);
+  if (!parsed || !parsed->is_object()) {
+    return JsonResponse(400, {{"error", "must be a JSON object"}});
+  }
+  const json& body = *parsed;
+  const std::lock_guard lock(mutex_);
+  ServiceTime& service = knobs_.service;
+  service.median_ms = body.value("service_ms", service.median_ms);
+  service.sigma = body.value("sigma", service.sigma);
+  service.straggler_percent =
+      body.value("straggler_percent", service.straggler_percent);
+  service.straggler_factor =
+      body.value("straggler_factor", service.straggler_factor);
+  knobs_.shed_percent = body.value("shed_percent", knobs_.shed_percent);
+  knobs_.announce = body.value("announce", knobs_.announce);
+  if (body.contains("reported_queue")) {
+    knobs_.lie = true;
+    knobs_.reported_queue = body["reported_queue"].get<std::uint32_t>();
+  }
+  if (body.value("drain", false)) {
+    plan_.announcement.state = TargetState::kDraining;
+  }
+  if (body.value("silence", false)) {
+    silent_up_to_ = newest_connection_;
+  }
+  if (body.contains("snapshots")) {
+    Announcement changed = plan_.announcement;
+    json whole = json::parse(ToJson(changed));
+    whole["snapshots"] = body["snapshots"];
+    auto reread = ParseAnnouncement(whole.dump());
+    if (!reread) {
+      return JsonResponse(400, {{"error", reread.error().detail}});
+    }
+    plan_.announcement.snapshots = reread->snapshots;
+  }
+  return JsonResponse(200, {{"state", "changed"}});
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/snipe-target/stand_in.h
@@ -0,0 +1,99 @@
+#ifndef SNIPE_TARGET_STAND_IN_H_
+#define SNIPE_TARGET_STAND_IN_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "fleet_plan.h"
+#include "snipeworks/announcement.h"
+#include "snipeworks/history.h"
+#include "snipeworks/http_server.h"
+#include "snipeworks/random.h"
+#include "snipeworks/target_protocol.h"
+#include "snipeworks/trace.h"
+
+namespace snipeworks {
+
+/// What an experiment can change on a running stand-in.
+struct StandInKnobs {
+  ServiceTime service;
+  std::uint32_t shed_percent = 0;    ///< Share of requests refused for load.
+  std::uint32_t reported_queue = 0;  ///< A lie, used if `lie` is set.
+  bool lie = false;
+  bool announce = true;  ///< False falls silent to the platform.
+};
+
+/// A stand-in for one back end: it queues for slots, takes its time, keeps
+/// snapshots, sheds, drains, cancels and fails on demand.
+class StandIn {
+ public:
+  /// Starts serving at the plan's address. Fails with kInternal.
+  static Result<std::unique_ptr<StandIn>> Start(TargetPlan plan,
+                                                std::uint64_t incarnation,
+                                                HistoryWriter& history,
+                                                SpanWriter& spans);
+  ~StandIn();
+
+  /// The next announcement, with a new sequence.
+  Announcement NextAnnouncement();
+  bool announces();
+
+  /// Takes no new work; what is running goes on.
+  void Drain();
+  /// True once nothing runs and nothing waits.
+  bool Idle();
+
+ private:
+  enum class RunState { kQueued, kRunning, kCancelled };
+
+  StandIn(TargetPlan plan,
+          std::uint64_t incarnation,
+          HistoryWriter& history,
+          SpanWriter& spans);
+
+  HttpResponse Handle(const HttpRequest& request);
+  HttpResponse HandleRun(const HttpRequest& request);
+  HttpResponse HandleCancel(const HttpRequest& request);
+  HttpResponse HandleProbe(const HttpRequest& request);
+  HttpResponse HandleKnobs(const HttpRequest& request);
+
+  AttemptOutcome Run(const RunRequest& request, const std::string& trace);
+  bool Refuses(const RunRequest& request, AttemptOutcome& refusal);
+  bool WaitForSlot(const RunRequest& request,
+                   Instant deadline,
+                   std::unique_lock<std::mutex>& lock);
+  Duration DrawServiceTime();
+  const HeldSnapshot* Find(const RunRequest& request) const;
+  void ConnectionCost(std::uint64_t connection);
+  bool IsSilent(std::uint64_t connection);
+  void Remember(const std::string& attempt);
+
+  TargetPlan plan_;
+  HistoryWriter& history_;
+  SpanWriter& spans_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  Random random_;
+  StandInKnobs knobs_;
+  std::uint64_t sequence_ = 0;
+  std::uint32_t running_ = 0;
+  std::deque<std::string> queue_;
+  std::map<std::string, RunState> attempts_;
+  /// Attempts that have ended or were asked for before they came; the oldest
+  /// are forgotten.
+  std::map<std::string, bool> ended_;
+  std::deque<std::string> ended_order_;
+  std::uint64_t newest_connection_ = 0;
+  std::uint64_t silent_up_to_ = 0;
+  bool stopping_ = false;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPE_TARGET_STAND_IN_H_
--- /dev/null
+++ b/src/snipectl/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
