Hedge by a percentile that rises as the budget empties

Cause: hedging at a fixed 95th percentile asks for more extra attempts than the 5% allow, so the budget was empty when real stragglers came. Change: the percentile goes from its setting towards 99 as tokens are spent; default 96. 22 tests of the search controller under a fake clock, two of them property tests.

--- a/src/include/snipeworks/policy.h
+++ b/src/include/snipeworks/policy.h
@@ -27,7 +27,7 @@
   std::int64_t deadline_ms = 1000;          ///< When a caller names none.
   std::int64_t soft_deadline_ms = 100;      ///< For AnswerRule::kSoftDeadline.
   std::int64_t selection = 0;               ///< A Selection.
-  std::int64_t hedge_percentile = 95;       ///< 0 turns hedges off.
+  std::int64_t hedge_percentile = 96;       ///< 0 turns hedges off.
   std::int64_t extra_attempts_percent = 5;  ///< Hedges and retries.
   std::int64_t canary = 0;                  ///< A Canary.
   std::int64_t quarantine_s = 60;
--- a/src/include/snipeworks/token_budget.h
+++ b/src/include/snipeworks/token_budget.h
@@ -22,7 +22,8 @@
     return true;
   }
 
-  double tokens() const { return tokens_; }
+  /// From 0, nothing left, to 1, nothing spent for a while.
+  double fullness() const { return tokens_ / kMaxTokens; }
 
  private:
   // Bounds the burst after a quiet time.
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kNoHedgesAfterShed = milliseconds(1000);
 constexpr int kMedian = 50;
 constexpr int kSlowPercentile = 95;
+constexpr double kLastPercentile = 99.0;
 
 }  // namespace
 
@@ -44,8 +45,12 @@
   if (policy.hedge_percentile == 0 || now < no_hedges_until_) {
     return std::nullopt;
   }
-  auto learnt =
-      latencies_.Percentile(static_cast<int>(policy.hedge_percentile));
+  // The emptier the budget, the slower an attempt must be to get a hedge: what
+  // is left goes to the worst stragglers, not to the first ones.
+  const auto base = static_cast<double>(policy.hedge_percentile);
+  const double spent = 1.0 - extra_attempts.fullness();
+  const double percentile = base + (kLastPercentile - base) * spent;
+  auto learnt = latencies_.Percentile(static_cast<int>(percentile));
   if (!learnt) {
     return std::nullopt;
   }
--- /dev/null
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -0,0 +1,560 @@
+#include "snipeworks/search_controller.h"
+
+#include <iostream>
+#include <random>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fake_targets_test.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+FleetSettings SettingsOf(const std::string& text) {
+  auto settings = FleetSettings::Parse(text);
+  EXPECT_TRUE(settings) << settings.error().detail;
+  return *settings;
+}
+
+// Enough searches that latencies are learnt and every query is known.
+void WarmUp(FakeTargets& fake, int searches = 60) {
+  for (int i = 0; i < searches; ++i) {
+    fake.Search("q");
+    fake.Run(milliseconds(25));
+  }
+  fake.sent.clear();
+  fake.commands.clear();
+}
+
+TEST(Search, AnswersFromEveryPartOfOneSnapshot) {
+  FakeTargets fake;
+  fake.AddTargets(5, 2);
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(100));
+  ASSERT_TRUE(fake.ResultOf(id));
+  const SearchAnswer& answer = *fake.ResultOf(id);
+  EXPECT_EQ(answer.snapshot, (SnapshotId{1, "d1"}));
+  EXPECT_TRUE(answer.coverage.complete());
+  EXPECT_EQ(answer.coverage.parts_answered, 5U);
+  EXPECT_EQ(answer.hits.size(), 5U);
+}
+
+TEST(Search, APartThatNobodyHoldsStillCounts) {
+  FakeTargets fake;
+  fake.AddTargets(4, 1);
+  FakeTargets other;
+  for (const auto& [name, target] : fake.targets) {
+    if (name != "t2-0") {
+      other.targets[name] = target;
+    }
+  }
+  other.AnnounceAll();
+  const RequestId id = other.Search("q");
+  other.Run(milliseconds(100));
+  ASSERT_TRUE(other.ResultOf(id));
+  const Coverage& coverage = other.ResultOf(id)->coverage;
+  EXPECT_EQ(coverage.parts_total, 4U);
+  EXPECT_EQ(coverage.documents_total, 400U);
+  EXPECT_EQ(coverage.documents_answered, 300U);
+  ASSERT_EQ(coverage.missing.size(), 1U);
+  EXPECT_EQ(coverage.missing[0],
+            (MissingPart{2, 100, MissingReason::kNoTarget}));
+}
+
+TEST(Search, AnAnswerOfAnotherSnapshotIsNeverMerged) {
+  FakeTargets fake;
+  fake.AddTargets(2, 1);
+  fake.controller.Submit(fake.now, {1, "g", "q", "", RequestClass::kNormal});
+  for (const SearchAction& action : fake.controller.TakeActions()) {
+    const auto* start = std::get_if<StartAttempt>(&action);
+    ASSERT_NE(start, nullptr);
+    AttemptOutcome wrong;
+    wrong.status = AttemptStatus::kAnswered;
+    wrong.snapshot = {2, "d2"};
+    wrong.part = start->command.part;
+    wrong.documents = 100;
+    fake.controller.OnOutcome(fake.now, start->command.id, wrong);
+  }
+  fake.Run(seconds(2));
+  for (const auto& [id, result] : fake.results) {
+    if (result) {
+      EXPECT_LT(result->coverage.documents_answered, 200U);
+    }
+  }
+}
+
+TEST(Search, TwoManifestsOfOneNumberAreNotMixed) {
+  FakeTargets fake;
+  fake.AddTargets(3, 2, "left");
+  fake.targets["t1-1"].snapshots[0].manifest.id.digest = "right";
+  fake.targets["t2-1"].snapshots[0].manifest.id.digest = "right";
+  fake.AnnounceAll();
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(100));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_EQ(fake.ResultOf(id)->snapshot.digest, "left");
+  for (const AttemptCommand& command : fake.commands) {
+    EXPECT_EQ(command.snapshot.digest, "left");
+    EXPECT_TRUE(command.target != "t1-1" && command.target != "t2-1");
+  }
+}
+
+TEST(Search, WhenTheSnapshotIsDroppedTheWholeSearchStartsOverOnce) {
+  FakeTargets fake;
+  fake.AddTargets(3, 2);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand& command) {
+    FakeReply reply{milliseconds(10)};
+    if (command.snapshot.number == 1 && command.part == 1) {
+      reply.status = AttemptStatus::kWrongSnapshot;
+    }
+    return reply;
+  };
+  const RequestId id = fake.Search("q");
+  for (auto& [name, target] : fake.targets) {
+    target.snapshots[0].manifest = FakeTargets::ManifestOf(3, "d2", 2);
+  }
+  fake.AnnounceAll();
+  fake.Run(milliseconds(200));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_EQ(fake.ResultOf(id)->snapshot, (SnapshotId{2, "d2"}));
+  EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+  for (const Hit& hit : fake.ResultOf(id)->hits) {
+    EXPECT_TRUE(hit.document.starts_with("d2/")) << hit.document;
+  }
+}
+
+TEST(Search, AnUnfinishedNewSnapshotIsNotPinned) {
+  FakeTargets fake;
+  fake.AddTargets(3, 1);
+  fake.targets["t0-0"].snapshots.push_back(
+      {FakeTargets::ManifestOf(3, "d2", 2), {0}});
+  fake.AnnounceAll();
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(100));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_EQ(fake.ResultOf(id)->snapshot.number, 1U);
+  EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+}
+
+TEST(Deadlines, ACoverageGroupWaitsAndTellsWhatIsLate) {
+  FakeTargets fake;
+  fake.AddTargets(3, 1);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand& command) {
+    return FakeReply{command.part == 1 ? Duration(seconds(10))
+                                       : Duration(milliseconds(10))};
+  };
+  const RequestId id =
+      fake.Search("q", RequestClass::kNormal, milliseconds(300));
+  fake.Run(milliseconds(400));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_LE(fake.LatencyOf(id), milliseconds(300));
+  EXPECT_GE(fake.LatencyOf(id), milliseconds(290));
+  ASSERT_EQ(fake.ResultOf(id)->coverage.missing.size(), 1U);
+  EXPECT_EQ(fake.ResultOf(id)->coverage.missing[0].reason,
+            MissingReason::kLate);
+}
+
+TEST(Deadlines, ASoftDeadlineGroupAnswersWithWhatItHas) {
+  FakeTargets fake;
+  fake.controller.ApplySettings(SettingsOf(
+      R"({"defaults":{"answer":"soft-deadline","soft_deadline_ms":65}})"));
+  fake.AddTargets(3, 1);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand& command) {
+    return FakeReply{command.part == 1 ? Duration(seconds(10))
+                                       : Duration(milliseconds(10))};
+  };
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(200));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_LE(fake.LatencyOf(id), milliseconds(66));
+  EXPECT_EQ(fake.ResultOf(id)->coverage.parts_answered, 2U);
+}
+
+TEST(Replicas, OneLostReplicaOfEachPartCostsNoCoverage) {
+  FakeTargets fake;
+  fake.AddTargets(5, 2);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand& command) {
+    FakeReply reply{milliseconds(10)};
+    if (command.target.ends_with("-1")) {
+      reply = {Duration(200), AttemptStatus::kNotSent};
+    }
+    return reply;
+  };
+  for (int i = 0; i < 50; ++i) {
+    const RequestId id = fake.Search("q");
+    fake.Run(milliseconds(50));
+    ASSERT_TRUE(fake.ResultOf(id));
+    EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+  }
+}
+
+TEST(Replicas, EjectionNeverRemovesTheLastReplica) {
+  FakeTargets fake;
+  fake.AddTargets(1, 2);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand&) {
+    return FakeReply{Duration(200), AttemptStatus::kNotSent};
+  };
+  fake.Search("q");
+  fake.Run(milliseconds(50));
+  fake.behaviour = [](const AttemptCommand&) {
+    return FakeReply{milliseconds(10)};
+  };
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(50));
+  ASSERT_TRUE(fake.Finished(id));
+  ASSERT_TRUE(fake.ResultOf(id));
+  EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+}
+
+TEST(Replicas, ADrainingTargetGetsNothingAfterItsAnnouncement) {
+  FakeTargets fake;
+  fake.AddTargets(2, 2);
+  WarmUp(fake);
+  fake.targets["t0-0"].state = TargetState::kDraining;
+  fake.Announce(fake.targets["t0-0"]);
+  for (int i = 0; i < 30; ++i) {
+    fake.Search("q");
+    fake.Run(milliseconds(20));
+  }
+  for (const AttemptCommand& command : fake.commands) {
+    EXPECT_NE(command.target, "t0-0");
+  }
+}
+
+TEST(Replicas, ATargetWhoseLeaseHasRunOutGetsNothing) {
+  FakeTargets fake;
+  fake.AddTargets(1, 1);
+  fake.announcing = false;
+  fake.Run(milliseconds(3100));
+  const RequestId id = fake.Search("q");
+  ASSERT_TRUE(fake.Finished(id));
+  EXPECT_EQ(fake.ResultOf(id).error().kind, ErrorKind::kNoTarget);
+  EXPECT_TRUE(fake.commands.empty());
+}
+
+struct TailFigures {
+  Duration p99{};
+  double extra_percent = 0.0;
+};
+
+// Searches over 10 parts whose service times spread as the stand-in's do.
+TailFigures TailWith(int hedge_percentile, std::size_t stragglers_percent) {
+  FakeTargets fake(7);
+  fake.controller.ApplySettings(
+      SettingsOf(R"({"defaults":{"canary":"off","hedge_percentile":)" +
+                 std::to_string(hedge_percentile) + "}}"));
+  fake.slots = 8;
+  fake.AddTargets(10, 3);
+  std::mt19937_64 engine(11);
+  std::lognormal_distribution<> spread(0.0, 0.25);
+  fake.behaviour = [&](const AttemptCommand&) {
+    const bool slow = fake.random.Below(100) < stragglers_percent;
+    const double ms = 8.0 * spread(engine) * (slow ? 10.0 : 1.0);
+    return FakeReply{Duration(static_cast<std::int64_t>(ms * 1000))};
+  };
+  for (int i = 0; i < 4000; ++i) {
+    fake.Search("q" + std::to_string(i));
+    fake.Run(milliseconds(15));
+  }
+  fake.Run(seconds(1));
+  std::vector<Duration> latencies;
+  for (const auto& [id, result] : fake.results) {
+    EXPECT_TRUE(result && result->coverage.complete());
+    latencies.push_back(fake.LatencyOf(id));
+  }
+  std::ranges::sort(latencies);
+  return {latencies[latencies.size() * 99 / 100],
+          100.0 * fake.Extra() / std::max(1, fake.sent[AttemptKind::kPrimary])};
+}
+
+TEST(Hedges, CutTheTailWithinTheBudget) {
+  const int percentile = static_cast<int>(GroupPolicy().hedge_percentile);
+  const TailFigures calm = TailWith(percentile, 0);
+  const TailFigures naive = TailWith(0, 1);
+  const TailFigures hedged = TailWith(percentile, 1);
+  RecordProperty("calm_us", static_cast<int>(calm.p99.count()));
+  RecordProperty("naive_us", static_cast<int>(naive.p99.count()));
+  RecordProperty("hedged_us", static_cast<int>(hedged.p99.count()));
+  std::cout << "p99 calm " << calm.p99.count() << " us, naive "
+            << naive.p99.count() << " us, hedged " << hedged.p99.count()
+            << " us, extra " << hedged.extra_percent << " %\n";
+  EXPECT_EQ(naive.extra_percent, 0.0);
+  EXPECT_LE(hedged.extra_percent, 5.0);
+  EXPECT_GT(naive.p99, calm.p99 * 3 / 2);
+  EXPECT_LE(hedged.p99, calm.p99 * 3 / 2);
+}
+
+TEST(Hedges, StopWhileTargetsShed) {
+  FakeTargets fake;
+  fake.AddTargets(4, 3);
+  WarmUp(fake);
+  fake.behaviour = [](const AttemptCommand& command) {
+    if (command.part == 0 && command.kind == AttemptKind::kPrimary) {
+      return FakeReply{milliseconds(1), AttemptStatus::kShed,
+                       milliseconds(100)};
+    }
+    return FakeReply{milliseconds(command.part == 1 ? 200 : 10)};
+  };
+  fake.Search("q");
+  fake.Run(milliseconds(300));
+  EXPECT_EQ(fake.sent[AttemptKind::kHedge], 0);
+}
+
+// Whatever targets do, extra attempts stay within their share.
+RC_GTEST_PROP(Extra, StaysWithinItsShareAtAnyLoad, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  const int gap_ms = *rc::gen::inRange(1, 30);
+  const int failing = *rc::gen::inRange(0, 60);
+  FakeTargets fake(seed);
+  fake.AddTargets(4, 3);
+  fake.behaviour = [&](const AttemptCommand&) {
+    const auto draw = static_cast<int>(fake.random.Below(100));
+    FakeReply reply{milliseconds(5 + fake.random.Below(40))};
+    if (draw < failing / 3) {
+      reply.status = AttemptStatus::kFailed;
+    } else if (draw < failing * 2 / 3) {
+      reply.status = AttemptStatus::kShed;
+      reply.retry_after = milliseconds(50);
+    } else if (draw < failing) {
+      reply.status = AttemptStatus::kLost;
+    }
+    return reply;
+  };
+  for (int i = 0; i < 200; ++i) {
+    fake.Search("q" + std::to_string(fake.random.Below(20)));
+    fake.Run(milliseconds(gap_ms));
+  }
+  fake.Run(seconds(3));
+  RC_ASSERT(fake.results.size() == 200U);
+  const double allowed = 0.05 * fake.sent[AttemptKind::kPrimary];
+  RC_ASSERT(fake.Extra() <= allowed + 1.0);
+}
+
+// Late, lost and reordered answers never mix snapshots or requests, and never
+// claim more than was answered.
+RC_GTEST_PROP(Answers, AreWholeWhateverTheOrder, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  FakeTargets fake(seed);
+  fake.AddTargets(4, 2);
+  std::map<std::pair<RequestId, PartNumber>, int> answered;
+  fake.behaviour = [&](const AttemptCommand& command) {
+    const std::size_t draw = fake.random.Below(100);
+    FakeReply reply{milliseconds(1 + fake.random.Below(60))};
+    if (draw < 5) {
+      reply.silent = true;
+    } else if (draw < 10) {
+      reply.status = AttemptStatus::kNotSent;
+    } else if (draw < 15) {
+      reply.status = AttemptStatus::kWrongSnapshot;
+    } else if (draw < 20) {
+      reply.status = AttemptStatus::kFailed;
+    } else {
+      ++answered[{command.request, command.part}];
+    }
+    return reply;
+  };
+  for (int i = 0; i < 60; ++i) {
+    if (fake.random.Below(20) == 0) {
+      const std::uint64_t number = fake.random.Below(3) + 1;
+      for (auto& [name, target] : fake.targets) {
+        target.snapshots[0].manifest =
+            FakeTargets::ManifestOf(4, "d" + std::to_string(number), number);
+      }
+      fake.AnnounceAll();
+    }
+    fake.Search("q" + std::to_string(i), RequestClass::kNormal,
+                milliseconds(200));
+    fake.Run(milliseconds(5));
+  }
+  fake.Run(seconds(2));
+  RC_ASSERT(fake.results.size() == 60U);
+  for (const auto& [id, result] : fake.results) {
+    RC_ASSERT(fake.LatencyOf(id) <= milliseconds(201));
+    if (!result) {
+      continue;
+    }
+    const std::string prefix = result->snapshot.digest + "/";
+    const std::string suffix = "/q" + std::to_string(id - 1);
+    for (const Hit& hit : result->hits) {
+      RC_ASSERT(hit.document.starts_with(prefix));
+      RC_ASSERT(hit.document.ends_with(suffix));
+    }
+    RC_ASSERT(result->coverage.parts_answered == result->hits.size());
+    RC_ASSERT(result->coverage.documents_answered ==
+              100 * result->coverage.parts_answered);
+    RC_ASSERT(result->coverage.parts_answered +
+                  result->coverage.missing.size() ==
+              4U);
+  }
+}
+
+TEST(Connections, ASilentOneIsFoundAndItsWorkGoesOnAtOnce) {
+  FakeTargets fake;
+  fake.AddTargets(4, 1);
+  WarmUp(fake);
+  bool first = true;
+  fake.behaviour = [&](const AttemptCommand& command) {
+    FakeReply reply{milliseconds(10)};
+    if (command.part == 2 && std::exchange(first, false)) {
+      reply.silent = true;
+    }
+    return reply;
+  };
+  const RequestId id = fake.Search("q");
+  fake.Run(milliseconds(200));
+  ASSERT_TRUE(fake.Finished(id));
+  EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+  EXPECT_LE(fake.LatencyOf(id), milliseconds(60));
+  EXPECT_EQ(fake.Extra(), 0);
+}
+
+TEST(Overload, ARefusalIsImmediateAndSaysWhenToComeBack) {
+  FakeTargets fake;
+  fake.slots = 1;
+  fake.AddTargets(2, 1);
+  WarmUp(fake);
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 100; ++i) {
+    ids.push_back(fake.Search("q", RequestClass::kNormal, milliseconds(100)));
+  }
+  int refused = 0;
+  for (RequestId id : ids) {
+    if (fake.Finished(id)) {
+      ++refused;
+      const Error& error = fake.ResultOf(id).error();
+      EXPECT_EQ(error.kind, ErrorKind::kOverloaded);
+      EXPECT_EQ(RowOf(error.kind).ran, Ran::kNo);
+      EXPECT_GT(error.retry_after.value_or(Duration{}), Duration{});
+    }
+  }
+  EXPECT_GE(refused, 85);
+  fake.Run(seconds(1));
+  int complete = 0;
+  for (RequestId id : ids) {
+    complete += fake.ResultOf(id) && fake.ResultOf(id)->coverage.complete();
+  }
+  EXPECT_GE(complete, 7);
+}
+
+TEST(Overload, RoutineLookupsGiveWayToUrgentSearches) {
+  FakeTargets fake;
+  fake.slots = 1;
+  fake.AddTargets(1, 1);
+  WarmUp(fake);
+  std::vector<RequestId> routine;
+  for (int i = 0; i < 5; ++i) {
+    routine.push_back(fake.Search("q", RequestClass::kRoutine, seconds(1)));
+  }
+  const RequestId urgent = fake.Search("q", RequestClass::kUrgent, seconds(1));
+  fake.Run(milliseconds(500));
+  ASSERT_TRUE(fake.ResultOf(urgent));
+  EXPECT_LE(fake.LatencyOf(urgent), milliseconds(25));
+  EXPECT_GE(fake.LatencyOf(routine.back()), fake.LatencyOf(urgent));
+}
+
+// A fleet of entry hosts that share evidence, over the same targets.
+class PoisonFleet {
+ public:
+  explicit PoisonFleet(std::size_t hosts) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      fakes.push_back(std::make_unique<FakeTargets>(
+          i + 1, 1, "entry-" + std::to_string(i + 1)));
+      FakeTargets& fake = *fakes.back();
+      fake.AddTargets(6, 3);
+      fake.behaviour = [this](const AttemptCommand& command) {
+        FakeReply reply{milliseconds(10)};
+        if (command.query->find("poison") != std::string::npos) {
+          broken.insert(command.target);
+          reply = {milliseconds(3), AttemptStatus::kLost};
+        }
+        return reply;
+      };
+      fake.tell_others = [this, i](const PoisonEvidence& evidence) {
+        bool running = false;
+        for (std::size_t other = 0; other < fakes.size(); ++other) {
+          if (other != i) {
+            running |= fakes[other]->controller.OnEvidence(fakes[other]->now,
+                                                           evidence);
+          }
+        }
+        return running;
+      };
+    }
+  }
+
+  void Run(Duration length) {
+    for (Duration done{}; done < length; done += milliseconds(5)) {
+      for (auto& fake : fakes) {
+        fake->Run(milliseconds(5));
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<FakeTargets>> fakes;
+  std::set<std::string> broken;
+};
+
+TEST(Poison, ResentThroughEveryHostForAMinuteBreaksTwoTargets) {
+  PoisonFleet fleet(8);
+  for (int i = 0; i < 200; ++i) {
+    FakeTargets& fake = *fleet.fakes[static_cast<std::size_t>(i) % 8];
+    const RequestId id = fake.Search("poison");
+    fleet.Run(milliseconds(100));
+    ASSERT_TRUE(fake.Finished(id));
+    ASSERT_FALSE(fake.ResultOf(id));
+    EXPECT_GT(fake.ResultOf(id).error().retry_after.value_or(Duration{}),
+              Duration{});
+    EXPECT_LE(fake.LatencyOf(id), milliseconds(30));
+  }
+  EXPECT_LE(fleet.broken.size(), 2U);
+}
+
+TEST(Poison, ATargetThatDiesCondemnsNoInnocentRequest) {
+  FakeTargets fake;
+  fake.slots = 50;
+  fake.AddTargets(4, 3);
+  WarmUp(fake);
+  fake.behaviour = [&fake](const AttemptCommand& command) {
+    FakeReply reply{milliseconds(10)};
+    if (command.target == "t0-0" && fake.now < Instant(seconds(1002))) {
+      reply = {milliseconds(5), AttemptStatus::kLost};
+    }
+    return reply;
+  };
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 40; ++i) {
+    ids.push_back(fake.Search("q" + std::to_string(i)));
+  }
+  fake.Run(seconds(2));
+  for (RequestId id : ids) {
+    ASSERT_TRUE(fake.ResultOf(id)) << fake.ResultOf(id).error().detail;
+    EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+  }
+  EXPECT_TRUE(fake.controller.Quarantined(fake.now).empty());
+}
+
+TEST(Poison, AQuarantineEndsAndCanBeReleased) {
+  PoisonFleet fleet(1);
+  FakeTargets& fake = *fleet.fakes[0];
+  fake.Search("poison");
+  fleet.Run(milliseconds(200));
+  const auto held = fake.controller.Quarantined(fake.now);
+  ASSERT_EQ(held.size(), 1U);
+  const RequestId refused = fake.Search("poison");
+  EXPECT_EQ(fake.ResultOf(refused).error().kind, ErrorKind::kQuarantined);
+  EXPECT_TRUE(fake.controller.Release(held[0]));
+  EXPECT_TRUE(fake.controller.Quarantined(fake.now).empty());
+}
+
+}  // namespace
+}  // namespace snipeworks
