--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -109,6 +109,8 @@
   /// The first entry that has not been compacted away.
   LogIndex first_index() const;
   const std::vector<Member>& members() const { return members_; }
+  /// True if the newest list of members is committed.
+  bool members_committed() const { return members_index_ <= commit_; }
   const std::string& cluster() const { return cluster_; }
   const std::string& disk() const { return disk_; }
   /// True if this host may vote and counts towards a quorum.
--- a/src/include/snipeworks/control_messages.h
+++ b/src/include/snipeworks/control_messages.h
@@ -127,6 +127,7 @@
   std::uint64_t settings_version = 0;
   std::uint64_t claims = 0;
   std::vector<Member> members;
+  bool members_committed = false;
   std::vector<SettingsQuery> in_force;  ///< Versions that entry hosts named.
 };
 
@@ -134,7 +135,7 @@
 auto WireFields(S& v) {
   return std::tie(v.host, v.role, v.leader, v.term, v.commit, v.last, v.first,
                   v.current, v.failed, v.settings_version, v.claims, v.members,
-                  v.in_force);
+                  v.members_committed, v.in_force);
 }
 
 /// Asks the leader to add a host that is to join, or to remove one.
--- a/src/libsnipeworks/consensus_node.cpp
+++ b/src/libsnipeworks/consensus_node.cpp
@@ -361,7 +361,9 @@
   const bool has_leader =
       role_ == ConsensusRole::kLeader ||
       (!leader_.empty() && now - heard_leader_ < config_.election_timeout);
-  const bool eligible = IsVoter() && !other_disk && !has_leader &&
+  // A host votes also if it does not know yet that it is a voter: the candidate
+  // counts the vote only if its own log says so, for this host with this disk.
+  const bool eligible = !other_disk && !has_leader &&
                         message.term >= vote_.term && LogIsUpToDate(message);
   if (!real) {
     const bool granted = eligible && message.term > vote_.term;
@@ -692,7 +694,8 @@
   if (progress.in_flight && !resend) {
     return;
   }
-  if (!previous_term) {
+  const bool compacted = progress.next < first_index();
+  if (!previous_term || compacted) {
     if (progress.in_flight && now - progress.sent < kSnapshotResend) {
       return;
     }
--- /dev/null
+++ b/src/libsnipeworks/target_view_test.cpp
@@ -0,0 +1,89 @@
+#include "snipeworks/target_view.h"
+
+#include <algorithm>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kLease = milliseconds(3000);
+const Instant kStart{std::chrono::seconds(1000)};
+
+Announcement One(std::uint64_t incarnation,
+                 std::uint64_t sequence,
+                 TargetState state = TargetState::kServing) {
+  Announcement one;
+  one.target = "t";
+  one.group = "g";
+  one.incarnation = incarnation;
+  one.sequence = sequence;
+  one.state = state;
+  return one;
+}
+
+TEST(Leases, RunFromTheFirstSightOfASequence) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 1));
+  EXPECT_FALSE(view.Merge(kStart + milliseconds(2900), One(1, 1)));
+  EXPECT_NE(view.Usable(kStart + kLease, "t"), nullptr);
+  EXPECT_EQ(view.Usable(kStart + kLease + milliseconds(1), "t"), nullptr);
+}
+
+TEST(Leases, ARelayedCopyBringsItsAge) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 1), milliseconds(2500));
+  EXPECT_EQ(view.Usable(kStart + milliseconds(600), "t"), nullptr);
+}
+
+TEST(Leases, AnOldCopyDoesNotReviveAForgottenTarget) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 1));
+  const Instant later = kStart + kLease * 30;
+  view.Prune(later);
+  view.Merge(later, One(1, 1), kLease * 30);
+  EXPECT_EQ(view.Usable(later, "t"), nullptr);
+}
+
+TEST(Draining, IsFinalWithinAnIncarnation) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 5, TargetState::kDraining));
+  view.Merge(kStart, One(1, 6));
+  EXPECT_EQ(view.Usable(kStart, "t"), nullptr);
+  view.Merge(kStart, One(2, 1));
+  EXPECT_NE(view.Usable(kStart, "t"), nullptr);
+  view.Merge(kStart, One(1, 7));
+  EXPECT_NE(view.Usable(kStart, "t"), nullptr);
+}
+
+// Hosts that hear the same announcements in any order and number agree.
+RC_GTEST_PROP(Views, DoNotDependOnOrderOrRepetition, ()) {
+  std::vector<Announcement> heard;
+  for (std::uint64_t sequence = 1; sequence < 6; ++sequence) {
+    heard.push_back(
+        One(1 + sequence / 4, sequence,
+            sequence == 5 ? TargetState::kDraining : TargetState::kServing));
+    heard.back().zone = "z" + std::to_string(sequence);
+  }
+  TargetView first(kLease);
+  TargetView second(kLease);
+  for (const Announcement& one : heard) {
+    first.Merge(kStart, one);
+  }
+  const auto seed = *rc::gen::arbitrary<unsigned>();
+  std::vector<Announcement> shuffled = heard;
+  shuffled.insert(shuffled.end(), heard.begin(), heard.end());
+  std::mt19937 engine(seed);
+  std::ranges::shuffle(shuffled, engine);
+  for (const Announcement& one : shuffled) {
+    second.Merge(kStart, one);
+  }
+  RC_ASSERT(first.Digest() == second.Digest());
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/snipe-control/control_host.cpp
+++ b/src/snipe-control/control_host.cpp
@@ -195,6 +195,7 @@
   status.settings_version = state_.settings().version;
   status.claims = state_.claims();
   status.members = node_.members();
+  status.members_committed = node_.members_committed();
   for (const auto& [host, version] : in_force_) {
     status.in_force.push_back({host, version});
   }
@@ -273,12 +274,19 @@
                        {"voter", member.voter}});
   }
   const nlohmann::json document = {
-      {"host", status.host},     {"role", status.role},
-      {"leader", status.leader}, {"term", status.term},
-      {"commit", status.commit}, {"last", status.last},
-      {"first", status.first},   {"current", status.current},
-      {"failed", status.failed}, {"settings_version", status.settings_version},
-      {"claims", status.claims}, {"members", std::move(members)}};
+      {"host", status.host},
+      {"role", status.role},
+      {"leader", status.leader},
+      {"term", status.term},
+      {"commit", status.commit},
+      {"last", status.last},
+      {"first", status.first},
+      {"current", status.current},
+      {"failed", status.failed},
+      {"settings_version", status.settings_version},
+      {"members_committed", status.members_committed},
+      {"claims", status.claims},
+      {"members", std::move(members)}};
   return {200, "application/json", document.dump() + "\n", {}, false};
 }
 
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -164,7 +164,8 @@
         for host in self.control_hosts:
             status, _, body = http("GET", host["http"], "/v1/status", timeout=1)
             if status == 200:
-                members = json.loads(body)["members"]
+                answer = json.loads(body)
+                members = answer["members"] if answer["members_committed"] else []
                 best = max(best, sum(1 for one in members if one["voter"]))
         return best
 
