Tell a broken target from a broken connection; survive silent ones

Cause: eleven black-box cases with real processes found three faults. (1) A control host that had been frozen died of SIGPIPE when it wrote to a peer that had closed. (2) After connections went silent, every attempt for 2 s opened a new one, 30 of 30 were in use, and the target closed the rest. (3) Those closed connections counted as targets broken by the request, so 160 of 581 innocent searches were refused as poison. Ruled out: the distrust of connections by age (libcurl counts whole seconds); counting breaks per target (a poison request running beside innocent ones would go uncounted). Change: SIGPIPE is ignored; a distrusted channel is replaced whole and drains; 20% of a target's connections are left free; a lost attempt is verified on a fresh connection, by refusal or another incarnation.

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -44,7 +44,8 @@
   RequestId request = 0;
   AttemptKind kind = AttemptKind::kPrimary;
   std::string target;
-  std::string address;  ///< "IP:port".
+  std::uint64_t incarnation = 0;  ///< Of the target, as it was chosen.
+  std::string address;            ///< "IP:port".
   std::string group;
   SnapshotId snapshot;
   PartNumber part = 0;
@@ -93,6 +94,14 @@
 /// What a target says of an attempt when asked over another connection.
 enum class ProbeState { kRunning, kUnknown, kFinished, kUnreachable };
 
+/// The answer to a probe.
+struct ProbeAnswer {
+  ProbeState state = ProbeState::kUnreachable;
+  std::uint64_t incarnation = 0;  ///< Of the target that answered.
+
+  friend bool operator==(const ProbeAnswer&, const ProbeAnswer&) = default;
+};
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_ATTEMPT_H_
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -63,10 +63,9 @@
 
   /// At most this many connections to `address` at once.
   void SetConnectionLimit(const std::string& address, std::uint32_t limit);
-  /// No connection to `address` that is open now is used for a new call.
-  void DistrustConnections(const std::string& address);
-  /// Closes idle connections to `address` and forgets it once it has no calls.
-  void Forget(const std::string& address);
+  /// The connection of `call` is silent: neither it nor any other that was
+  /// opened with it is used for a new call.
+  void DistrustConnectionOf(HttpCallId call);
 
  private:
   class Impl;
--- a/src/include/snipeworks/target_protocol.h
+++ b/src/include/snipeworks/target_protocol.h
@@ -56,7 +56,7 @@
                          const std::string& attempt);
 
 /// What a call to kProbePath came to.
-ProbeState ProbeStateOf(const HttpCallResult& result);
+ProbeAnswer ParseProbeAnswer(const HttpCallResult& result);
 
 }  // namespace snipeworks
 
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <curl/curl.h>
 #include <uv.h>
@@ -12,13 +13,8 @@
 
 namespace {
 
-using std::chrono::seconds;
-
 constexpr long kConnectTimeoutMs = 1000;
 constexpr std::uint32_t kDefaultConnectionLimit = 4;
-// libcurl counts the age of connections in whole seconds. Until this has
-// passed, age cannot tell old connections from new ones.
-constexpr Duration kAgeResolution = seconds(2);
 constexpr long kMaxIdleSeconds = 60;
 
 class Channel;
@@ -28,7 +24,8 @@
   HttpCallId id = 0;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
-  Channel* channel = nullptr;
+  std::shared_ptr<Channel> channel;
+  std::string address;
   std::string body;
   HttpCallResult result;
   int sends = 0;
@@ -91,18 +88,11 @@
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, value);
   }
 
-  void Distrust(Instant now) { distrusted_at_ = now; }
-
   void Add(Transfer& transfer, bool fresh) {
     ++transfers_;
     CURL* easy = transfer.easy;
-    const Duration age = MonotonicNow() - distrusted_at_;
-    const bool too_young = distrusted_at_ != Instant{} && age < kAgeResolution;
-    if (fresh || too_young) {
+    if (fresh) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    } else if (distrusted_at_ != Instant{}) {
-      const long max_age = std::chrono::duration_cast<seconds>(age).count() - 1;
-      curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, std::max(1L, max_age));
     }
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
     curl_multi_add_handle(multi_, easy);
@@ -114,7 +104,7 @@
     --transfers_;
   }
 
-  bool busy() const { return transfers_ > 0; }
+  std::uint32_t transfers() const { return transfers_; }
 
  private:
   struct Poll {
@@ -214,8 +204,7 @@
   CURLM* multi_;
   uv_timer_t* timer_;
   std::unordered_map<curl_socket_t, Poll*> polls_;
-  Instant distrusted_at_{};
-  int transfers_ = 0;
+  std::uint32_t transfers_ = 0;
 };
 
 HttpCallStatus StatusOf(CURLcode code, const Transfer& transfer) {
@@ -249,7 +238,8 @@
     transfer->id = id;
     transfer->body = call.body;
     transfer->done = std::move(done);
-    transfer->channel = &ChannelOf(call.address);
+    transfer->address = call.address;
+    transfer->channel = RouteOf(call.address).channel;
     Prepare(call, *transfer);
     transfer->channel->Add(*transfer, call.fresh_connection);
     transfers_[id] = std::move(transfer);
@@ -264,24 +254,63 @@
     }
   }
 
-  Channel& ChannelOf(const std::string& address) {
-    auto& channel = channels_[address];
-    if (!channel) {
-      channel = std::make_unique<Channel>(
-          loop_.raw(),
-          [this](CURL* easy, CURLcode code) { OnTransferDone(easy, code); });
-    }
-    return *channel;
+  void SetLimit(const std::string& address, std::uint32_t limit) {
+    Route& route = RouteOf(address);
+    route.limit = limit;
+    ApplyLimit(route);
   }
 
-  void Forget(const std::string& address) {
-    auto found = channels_.find(address);
-    if (found != channels_.end() && !found->second->busy()) {
-      channels_.erase(found);
+  // Calls in flight end on the old channel, which takes its idle connections
+  // with it when the last of them has ended.
+  void Distrust(HttpCallId id) {
+    auto found = transfers_.find(id);
+    if (found == transfers_.end()) {
+      return;
     }
+    const Transfer& transfer = *found->second;
+    Route& route = RouteOf(transfer.address);
+    if (transfer.channel != route.channel) {
+      return;
+    }
+    route.retired.push_back(route.channel);
+    route.channel = NewChannel();
+    ApplyLimit(route);
   }
 
  private:
+  // The way to one address.
+  struct Route {
+    std::shared_ptr<Channel> channel;
+    std::vector<std::weak_ptr<Channel>> retired;
+    std::uint32_t limit = kDefaultConnectionLimit;
+  };
+
+  std::shared_ptr<Channel> NewChannel() {
+    return std::make_shared<Channel>(
+        loop_.raw(),
+        [this](CURL* easy, CURLcode code) { OnTransferDone(easy, code); });
+  }
+
+  Route& RouteOf(const std::string& address) {
+    Route& route = routes_[address];
+    if (!route.channel) {
+      route.channel = NewChannel();
+      ApplyLimit(route);
+    }
+    return route;
+  }
+
+  // Connections that are still busy on retired channels count too.
+  static void ApplyLimit(Route& route) {
+    std::uint32_t busy = 0;
+    std::erase_if(route.retired, [&](const std::weak_ptr<Channel>& one) {
+      const auto channel = one.lock();
+      busy += channel ? channel->transfers() : 0;
+      return channel == nullptr;
+    });
+    route.channel->SetLimit(route.limit > busy ? route.limit - busy : 1);
+  }
+
   static void Prepare(const HttpCall& call, Transfer& transfer) {
     CURL* easy = curl_easy_init();
     transfer.easy = easy;
@@ -329,16 +358,25 @@
     End(transfer->id);
   }
 
-  // The callback runs from the loop, so that it may send further calls.
+  // The callback runs from the loop, so that it may send further calls. A
+  // retired channel must not go while it is calling, so it goes there too.
   void End(HttpCallId id) {
     auto node = transfers_.extract(id);
     std::shared_ptr<Transfer> transfer = std::move(node.mapped());
     transfer->channel->Remove(*transfer);
-    loop_.Post([transfer] { transfer->done(transfer->result); });
+    loop_.Post([this, transfer] {
+      const bool retired =
+          transfer->channel != RouteOf(transfer->address).channel;
+      transfer->channel.reset();
+      if (retired) {
+        ApplyLimit(RouteOf(transfer->address));
+      }
+      transfer->done(transfer->result);
+    });
   }
 
   EventLoop& loop_;
-  std::map<std::string, std::unique_ptr<Channel>> channels_;
+  std::map<std::string, Route> routes_;
   std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> transfers_;
   HttpCallId next_ = 1;
 };
@@ -357,15 +395,11 @@
 
 void HttpClient::SetConnectionLimit(const std::string& address,
                                     std::uint32_t limit) {
-  impl_->ChannelOf(address).SetLimit(limit);
-}
-
-void HttpClient::DistrustConnections(const std::string& address) {
-  impl_->ChannelOf(address).Distrust(MonotonicNow());
+  impl_->SetLimit(address, limit);
 }
 
-void HttpClient::Forget(const std::string& address) {
-  impl_->Forget(address);
+void HttpClient::DistrustConnectionOf(HttpCallId call) {
+  impl_->Distrust(call);
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/http_server.cpp
+++ b/src/libsnipeworks/http_server.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <utility>
 
+#include <glog/logging.h>
 #include <microhttpd.h>
 #include <ulfius.h>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr int kTooLargeStatus = 413;
+constexpr int kFailedStatus = 500;
 
 // One thread serves one connection, so what belongs to a connection is kept
 // with its thread: ulfius does not show the connection to its callbacks.
@@ -129,7 +131,7 @@
     auto* impl = static_cast<Impl*>(self);
     ++impl->in_flight_;
     request_counted = true;
-    const HttpResponse answer = impl->Answer(*request);
+    const HttpResponse answer = impl->AnswerSafely(*request);
     ulfius_set_binary_body_response(response,
                                     static_cast<unsigned>(answer.status),
                                     answer.body.data(), answer.body.size());
@@ -156,6 +158,16 @@
     }
   }
 
+  // An exception must not reach ulfius, which is written in C.
+  HttpResponse AnswerSafely(const _u_request& request) {
+    try {
+      return Answer(request);
+    } catch (const std::exception& error) {
+      LOG(ERROR) << "event=handler_failed reason=\"" << error.what() << "\"";
+      return {kFailedStatus, "text/plain", "the request failed\n", {}, true};
+    }
+  }
+
   HttpResponse Answer(const _u_request& request) {
     if (request.binary_body_length > config_.max_body_bytes) {
       return {
--- a/src/libsnipeworks/program.cpp
+++ b/src/libsnipeworks/program.cpp
@@ -1,5 +1,6 @@
 #include "snipeworks/program.h"
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -43,6 +44,8 @@
     parsed.exit = true;
     return parsed;
   }
+  // A peer that has gone must show as a failed write, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = parsed.result["log-level"].as<int>();
   google::InitGoogleLogging(argv[0]);
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -10,6 +10,7 @@
 // Above this many candidates two random ones are compared: scoring all would
 // cost more and send every host to the same best replica.
 constexpr std::size_t kScoreAllUpTo = 8;
+constexpr std::uint32_t kSharedPercent = 80;
 
 }  // namespace
 
@@ -19,9 +20,11 @@
     : view_(view), random_(random), fleet_hosts_(std::max(1U, fleet_hosts)) {}
 
 // The share counts every entry host that is allowed in the fleet, alive or not:
-// a host that is cut off from the others still holds its connections.
+// a host that is cut off from the others still holds its connections. A part of
+// the limit is left free, since a target goes on counting connections that
+// went silent until it gives them up itself.
 std::uint32_t ReplicaSelector::ConnectionShare(std::uint32_t limit) const {
-  return std::max(1U, limit / fleet_hosts_);
+  return std::max(1U, limit * kSharedPercent / 100 / fleet_hosts_);
 }
 
 void ReplicaSelector::OnAnnouncement(Instant now,
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -460,6 +460,7 @@
   command.request = search.request().id;
   command.kind = kind;
   command.target = target.target;
+  command.incarnation = target.incarnation;
   command.address = target.address;
   command.group = target.group;
   command.snapshot = search.snapshot().id();
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kAskTimeout = milliseconds(300);
 // The target's own deadline comes first.
 constexpr Duration kRunMargin = milliseconds(100);
+constexpr Duration kVerifyTimeout = milliseconds(100);
 constexpr Duration kWarmTimeout = milliseconds(1000);
 
 }  // namespace
@@ -87,6 +88,51 @@
   }
   const Running& running = node.mapped();
   const AttemptOutcome outcome = OutcomeOf(result, running.name);
+  const bool verify = outcome.status == AttemptStatus::kLost &&
+                      running.command.idempotency_key.empty();
+  if (verify) {
+    VerifyLoss(running);
+  } else {
+    Report(running, outcome);
+  }
+}
+
+// A broken connection can mean that the target broke, or only the connection.
+// The target that is asked again tells: one that has gone refuses, one that was
+// restarted has another incarnation.
+void TargetGateway::VerifyLoss(const Running& running) {
+  HttpCall call = ProbeCall(running);
+  call.timeout = kVerifyTimeout;
+  client_.Send(call, [this, running](const HttpCallResult& result) {
+    AttemptOutcome outcome;
+    const ProbeAnswer answer = ParseProbeAnswer(result);
+    if (result.status == HttpCallStatus::kNotSent) {
+      outcome.status = AttemptStatus::kLost;
+    } else if (answer.state == ProbeState::kUnreachable) {
+      outcome.status = AttemptStatus::kFailed;
+    } else if (answer.incarnation != running.command.incarnation) {
+      outcome.status = AttemptStatus::kLost;
+    } else {
+      outcome.status = answer.state == ProbeState::kUnknown
+                           ? AttemptStatus::kSilent
+                           : AttemptStatus::kFailed;
+    }
+    Report(running, outcome);
+  });
+}
+
+HttpCall TargetGateway::ProbeCall(const Running& running) {
+  HttpCall call;
+  call.address = running.command.address;
+  call.path = kProbePath;
+  call.body = nlohmann::json{{"attempt", running.name}}.dump();
+  call.timeout = kAskTimeout;
+  call.fresh_connection = true;
+  return call;
+}
+
+void TargetGateway::Report(const Running& running,
+                           const AttemptOutcome& outcome) {
   if (running.context.sampled) {
     spans_.Write({"entry.attempt",
                   running.context,
@@ -98,7 +144,7 @@
                    {"part", std::to_string(running.command.part)},
                    {"status", ToString(outcome.status)}}});
   }
-  on_outcome_(attempt, outcome);
+  on_outcome_(running.command.id, outcome);
 }
 
 void TargetGateway::Ask(const Running& running,
@@ -131,21 +177,15 @@
   if (found == running_.end()) {
     return;
   }
-  const std::string address = found->second.command.address;
-  HttpCall call;
-  call.address = address;
-  call.path = kProbePath;
-  call.body = nlohmann::json{{"attempt", found->second.name}}.dump();
-  call.timeout = kAskTimeout;
-  call.fresh_connection = true;
-  client_.Send(call, [this, attempt, address](const HttpCallResult& result) {
-    const ProbeState state = ProbeStateOf(result);
+  const HttpCall call = ProbeCall(found->second);
+  client_.Send(call, [this, attempt](const HttpCallResult& result) {
+    const ProbeState state = ParseProbeAnswer(result).state;
     auto late = running_.find(attempt);
     if (late == running_.end()) {
       return;
     }
     if (state == ProbeState::kUnknown) {
-      client_.DistrustConnections(address);
+      client_.DistrustConnectionOf(late->second.call);
       client_.Abort(late->second.call);
     }
     on_probe_(attempt, state);
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -181,23 +181,29 @@
   return answer->outcome;
 }
 
-ProbeState ProbeStateOf(const HttpCallResult& result) {
+ProbeAnswer ParseProbeAnswer(const HttpCallResult& result) {
+  ProbeAnswer answer;
   if (result.status != HttpCallStatus::kAnswered) {
-    return ProbeState::kUnreachable;
+    return answer;
   }
   Result<json> document = ParseJson(result.body);
   if (!document) {
-    return ProbeState::kUnreachable;
+    return answer;
   }
   JsonReader reader(*document);
   const std::string state = reader.String("state");
-  if (state == "running") {
-    return ProbeState::kRunning;
+  answer.incarnation = reader.Unsigned("incarnation");
+  if (!reader.ok()) {
+    return answer;
   }
-  if (state == "finished") {
-    return ProbeState::kFinished;
+  if (state == "running") {
+    answer.state = ProbeState::kRunning;
+  } else if (state == "finished") {
+    answer.state = ProbeState::kFinished;
+  } else if (state == "unknown") {
+    answer.state = ProbeState::kUnknown;
   }
-  return state == "unknown" ? ProbeState::kUnknown : ProbeState::kUnreachable;
+  return answer;
 }
 
 }  // namespace snipeworks
--- a/src/snipe-load/load_run.cpp
+++ b/src/snipe-load/load_run.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::uint32_t kConnectionsPerEntry = 256;
 constexpr Duration kAnswerGrace = milliseconds(2000);
+constexpr Duration kReadinessInterval = milliseconds(200);
+constexpr Duration kReadinessTimeout = milliseconds(500);
 constexpr Duration kResendPause = milliseconds(200);
 constexpr Duration kResendFor = std::chrono::seconds(20);
 constexpr const char* kClassNames[] = {"urgent", "normal", "routine"};
@@ -62,9 +64,47 @@
 void LoadRun::Start() {
   started_ = MonotonicNow();
   next_due_ = started_;
+  AskReadiness();
+  loop_.Every(kReadinessInterval, [this] { AskReadiness(); });
   SendDue();
 }
 
+// Health checks as a balancer makes them. One that brings no answer takes the
+// host out too.
+void LoadRun::AskReadiness() {
+  for (const LoadArm& arm : plan_.arms) {
+    for (const std::string& entry : arm.entries) {
+      HttpCall call;
+      call.address = entry;
+      call.method = "GET";
+      call.path = "/readyz";
+      call.timeout = kReadinessTimeout;
+      client_.Send(call, [this, entry](const HttpCallResult& result) {
+        const bool ready = result.status == HttpCallStatus::kAnswered &&
+                           result.http_status == 200;
+        if (ready) {
+          not_ready_.erase(entry);
+        } else {
+          not_ready_.insert(entry);
+        }
+      });
+    }
+  }
+}
+
+// The next entry host in turn that is ready, or just the next.
+const std::string& LoadRun::NextEntry(Request& request) {
+  const std::vector<std::string>& entries = plan_.arms[request.arm].entries;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const std::string& entry = entries[request.entry % entries.size()];
+    if (!not_ready_.contains(entry)) {
+      return entry;
+    }
+    request.entry = next_entry_[request.arm]++;
+  }
+  return entries[request.entry % entries.size()];
+}
+
 void LoadRun::SendDue() {
   const Instant now = MonotonicNow();
   const Instant end = started_ + plan_.warm_up + plan_.length;
@@ -114,10 +154,9 @@
 }
 
 void LoadRun::Send(Request request) {
-  const LoadArm& arm = plan_.arms[request.arm];
   const TraceContext trace = TraceContext::New(random_, false);
   HttpCall call;
-  call.address = arm.entries[request.entry % arm.entries.size()];
+  call.address = NextEntry(request);
   call.path =
       "/v1/groups/" + plan_.group + (plan_.actions ? "/actions" : "/search");
   call.body = json{{"query", request.query}}.dump();
--- a/src/snipe-load/load_run.h
+++ b/src/snipe-load/load_run.h
@@ -2,6 +2,7 @@
 #define SNIPE_LOAD_LOAD_RUN_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
   };
 
   void SendDue();
+  void AskReadiness();
+  const std::string& NextEntry(Request& request);
   Request NewRequest(Instant intended);
   void Send(Request request);
   void OnAnswer(Request request,
@@ -100,6 +103,8 @@
   LoopTimer timer_;
   std::vector<ArmResult> results_;
   std::vector<std::size_t> next_entry_;
+  /// Entry hosts that last said they are not ready; a balancer avoids them.
+  std::set<std::string> not_ready_;
   Instant started_{};
   Instant next_due_{};
   std::uint64_t made_ = 0;
--- a/src/snipe-target/stand_in.cpp
+++ b/src/snipe-target/stand_in.cpp
@@ -373,14 +373,16 @@
   const std::string attempt =
       body ? JsonReader(*body).StringOr("attempt", "") : "";
   const std::lock_guard lock(mutex_);
+  const char* state = "unknown";
   if (attempts_.contains(attempt)) {
-    return JsonResponse(200, {{"state", "running"}});
-  }
-  if (ended_.contains(attempt)) {
-    return JsonResponse(200, {{"state", "finished"}});
+    state = "running";
+  } else if (ended_.contains(attempt)) {
+    state = "finished";
+  } else {
+    Remember(attempt);
   }
-  Remember(attempt);
-  return JsonResponse(200, {{"state", "unknown"}});
+  return JsonResponse(
+      200, {{"state", state}, {"incarnation", plan_.announcement.incarnation}});
 }
 
 HttpResponse StandIn::HandleKnobs(const HttpRequest& http) {
--- /dev/null
+++ b/testsuite/command_line/run.py
@@ -0,0 +1,76 @@
+"""Bad input gets a clear error: files, options, callers' requests."""
+
+import json
+import os
+import socket
+import subprocess
+import time
+
+import fleet as fleet_module
+from fleet import check, http
+
+
+def run(fleet, program, *arguments):
+    done = subprocess.run([fleet.program(program)] + list(arguments), capture_output=True,
+                          text=True, timeout=20, check=False)
+    return done.returncode, done.stdout + done.stderr
+
+
+def case(fleet):
+    for program in ("snipe-entry", "snipe-control", "snipe-target", "snipe-load", "snipectl"):
+        code, text = run(fleet, program, "--help")
+        check(code == 0 and program in text, f"{program} --help")
+        code, text = run(fleet, program, "--version")
+        check(code == 0 and "snipeworks" in text, f"{program} --version")
+        check(run(fleet, program, "--no-such-option")[0] == 2, f"{program} --no-such-option")
+    bad = fleet.path("bad.jsonc")
+    with open(bad, "w", encoding="utf-8") as file:
+        file.write('{\n "host": "a",\n "zone": "z",\n "http": "nowhere:1"}')
+    code, text = run(fleet, "snipe-entry", "--settings", bad, "--check")
+    check(code == 2 and "line 4: http" in text, f"the fault and its line: {text}")
+    with open(bad, "w", encoding="utf-8") as file:
+        file.write('{"defaults": {\n "deadline": 5}}')
+    code, text = run(fleet, "snipectl", "settings", "check", bad)
+    check(code == 2 and "line 2: deadline: unknown setting" in text, text)
+    check(fleet.ctl("exceptions", "add", "lots", "deadline_ms=9", expect=2).stderr.find(
+        "--reason is needed") >= 0, "an exception needs a reason")
+    fleet.ctl("exceptions", "add", "lots", "deadline_ms=900", "--reason", "a test")
+    check("a test" in fleet.ctl("exceptions", "list").stdout, "the reason is kept")
+    fleet.ctl("exceptions", "remove", "lots")
+    check(run(fleet, "snipectl", "--control", "127.0.0.1:1", "settings", "show")[0] == 4,
+          "no host answers: exit 4")
+
+    address = fleet.entries()[0]
+    path = "/v1/groups/lots/search"
+    for body, headers, expected in (
+            ({"query": ""}, {}, 400), ({"nothing": 1}, {}, 400), ([1], {}, 400),
+            ({"query": "x" * 20000}, {}, 413), ({"query": "x", "limit": 0}, {}, 400),
+            ({"query": "x", "colour": 1}, {}, 400),
+            ({"query": "x"}, {"Snipe-Deadline-Ms": "soon"}, 400),
+            ({"query": "x"}, {"Snipe-Deadline-Ms": "-5"}, 400),
+            ({"query": "x"}, {"Snipe-Class": "royal"}, 400),
+            ({"query": "x" * 2000000}, {}, 413)):
+        status, headers, answer = http("POST", address, path, body, headers)
+        check(status == expected, f"{str(body)[:40]}: {status}, not {expected}")
+        if headers["Content-Type"] == "application/problem+json":
+            problem = json.loads(answer)
+            check(problem["ran"] == "no" and problem["detail"], "says why, and that it was not run")
+    check(http("GET", address, "/v1/nothing")[0] == 404, "unknown path")
+    # A caller that sends half a request and waits holds up nobody.
+    slow = socket.create_connection(tuple(address.split(":")))
+    slow.sendall(b"POST /v1/groups/lots/search HTTP/1.1\r\nContent-Length: 50\r\n\r\n{")
+    started = time.monotonic()
+    check(fleet.search("lots", "beside a slow caller")[0] == 200, "others go on")
+    check(time.monotonic() - started < 1.0, "at once")
+    slow.close()
+
+    _, _, page = http("GET", address, "/metrics")
+    documented = os.path.join(os.path.dirname(fleet_module.__file__), "..", "docs", "metrics.md")
+    with open(documented, encoding="utf-8") as file:
+        text = file.read()
+    names = {line.split()[2] for line in page.decode().splitlines() if line.startswith("# TYPE")}
+    missing = sorted(name for name in names if f"`{name}`" not in text)
+    check(names and not missing, f"docs/metrics.md lacks {missing}")
+
+
+fleet_module.run_case(case, first_port=23560)
