Admit by how fast queues drain; give up before the deadline, not at it

Cause: at 2x load 120 of 2,550 searches waited 400 ms only to be told that nothing was run, and 300 answers were partial: the expected wait counted only what targets could take from this host, not that other hosts use them, and nothing was given up before the deadline. Ruled out: a rate alone (after an idle time it says nothing of capacity; a burst after a calm was refused, 5 answers where 7 were possible). Change: a queue that has stood for 300 ms is judged by the rate of dispatches, by class; a search that was not started in time is refused at once.

--- a/src/include/snipeworks/control_state.h
+++ b/src/include/snipeworks/control_state.h
@@ -14,7 +14,7 @@
 namespace snipeworks {
 
 /// How long claims are kept, in seconds. A key older than this is refused.
-inline constexpr std::int64_t kClaimRetentionS = 24 * 3600;
+inline constexpr std::int64_t kClaimRetentionS = std::int64_t{24} * 3600;
 /// How far ahead of the control hosts' clock a key may say it was made.
 inline constexpr std::int64_t kClaimSkewS = 300;
 /// How long a claim may stay open before it counts as "may have run".
--- a/src/include/snipeworks/group_state.h
+++ b/src/include/snipeworks/group_state.h
@@ -1,12 +1,15 @@
 #ifndef SNIPEWORKS_GROUP_STATE_H_
 #define SNIPEWORKS_GROUP_STATE_H_
 
+#include <array>
 #include <memory>
 #include <string>
 
 #include "snipeworks/clock.h"
+#include "snipeworks/decayed_rate.h"
 #include "snipeworks/latency_window.h"
 #include "snipeworks/policy.h"
+#include "snipeworks/search.h"
 #include "snipeworks/snapshot_catalog.h"
 #include "snipeworks/target_view.h"
 #include "snipeworks/token_budget.h"
@@ -41,6 +44,21 @@
   void OnLatency(Duration latency) { latencies_.Add(latency); }
   void OnShed(Instant now);
 
+  /// An attempt of `request_class` was dispatched.
+  void OnDispatch(Instant now, RequestClass request_class);
+  /// What a part waits behind, for ExpectedWait.
+  struct Backlog {
+    std::size_t ahead = 0;      ///< Parts that go first.
+    std::size_t own_class = 0;  ///< Of those, the ones of its own class.
+    int capacity = 1;           ///< Attempts that its replicas take at once.
+    std::size_t parts = 1;      ///< Parts of the snapshot.
+  };
+
+  /// How long a part is expected to wait behind `backlog`.
+  Duration ExpectedWait(Instant now,
+                        RequestClass request_class,
+                        const Backlog& backlog);
+
   GroupPolicy policy;
   TokenBudget extra_attempts;
 
@@ -51,6 +69,10 @@
   bool valid_ = false;
   Instant computed_at_{};
   Instant no_hedges_until_{};
+  Instant busy_since_{};
+  Instant busy_at_{};
+  DecayedRate dispatched_;
+  std::array<DecayedRate, kRequestClasses> dispatched_by_class_;
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/part_queue.h
+++ b/src/include/snipeworks/part_queue.h
@@ -49,6 +49,10 @@
   /// Parts waiting under `key` that go before a new one of `request_class`.
   std::size_t Ahead(const PartKey& key, RequestClass request_class) const;
 
+  /// Of those, the ones of `request_class` itself.
+  std::size_t AheadInClass(const PartKey& key,
+                           RequestClass request_class) const;
+
   /// Parts waiting under all keys.
   std::size_t size() const { return size_; }
 
--- a/src/include/snipeworks/request_filters.h
+++ b/src/include/snipeworks/request_filters.h
@@ -94,6 +94,8 @@
  private:
   Duration ExpectedWait(const SearchContext& context) const;
 
+  int Capacity(Instant now, const std::vector<std::string>& replicas) const;
+
   const PartQueue& queue_;
   ReplicaSelector& selector_;
 };
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -96,7 +96,7 @@
                           Duration age = {});
 
   /// Takes a search; FinishSearch follows, at once if it is refused.
-  void Submit(Instant now, SearchRequest request);
+  void Submit(Instant now, const SearchRequest& request);
   /// The caller has gone: its work is cancelled and no answer follows.
   void OnCallerGone(Instant now, RequestId request);
 
--- a/src/libsnipeworks/caller_api.cpp
+++ b/src/libsnipeworks/caller_api.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t kMaxLimit = 1000;
 constexpr std::uint64_t kDefaultLimit = 10;
 // Larger than the query filter allows, so that the filter gives the reason.
-constexpr std::size_t kMaxQueryBytes = 64 * 1024;
+constexpr std::size_t kMaxQueryBytes = std::size_t{64} * 1024;
 constexpr Duration kOneSecond = std::chrono::seconds(1);
 
 Result<std::optional<Duration>> ParseDeadline(std::string_view text) {
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -19,6 +19,10 @@
 constexpr int kMedian = 50;
 constexpr int kSlowPercentile = 95;
 constexpr double kLastPercentile = 99.0;
+constexpr Duration kBusyGap = milliseconds(200);
+constexpr Duration kBusyForRates = milliseconds(300);
+constexpr double kMinDispatchRate = 1.0;
+constexpr double kMinClassShare = 0.1;
 
 }  // namespace
 
@@ -67,4 +71,38 @@
   no_hedges_until_ = now + kNoHedgesAfterShed;
 }
 
+void GroupState::OnDispatch(Instant now, RequestClass request_class) {
+  dispatched_.Add(now);
+  dispatched_by_class_[static_cast<std::size_t>(request_class)].Add(now);
+}
+
+// A queue that has stood for a while drains as fast as parts were dispatched
+// lately: other hosts use the same targets, so that tells more than what the
+// replicas could take from this one. The own class drains slower than the
+// whole, since more urgent requests that are still to come go first; a class
+// that got nothing lately is taken to get a small share.
+Duration GroupState::ExpectedWait(Instant now,
+                                  RequestClass request_class,
+                                  const Backlog& backlog) {
+  if (now - busy_at_ > kBusyGap) {
+    busy_since_ = now;
+  }
+  busy_at_ = now;
+  const auto ahead = static_cast<double>(backlog.ahead);
+  if (now - busy_since_ < kBusyForRates) {
+    const double rounds = (ahead + 1.0) / backlog.capacity;
+    return Duration(static_cast<std::int64_t>(
+        rounds * static_cast<double>(Reference().count())));
+  }
+  const double all = std::max(kMinDispatchRate, dispatched_.PerSecond(now));
+  const double own = std::max(
+      all * kMinClassShare,
+      dispatched_by_class_[static_cast<std::size_t>(request_class)].PerSecond(
+          now));
+  const double seconds =
+      static_cast<double>(backlog.parts) *
+      std::max(ahead / all, static_cast<double>(backlog.own_class) / own);
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/json_reader.cpp
+++ b/src/libsnipeworks/json_reader.cpp
@@ -109,6 +109,9 @@
     return Fail(ErrorKind::kBadRequest,
                 "line " + std::to_string(LineOf(text, error.byte)) +
                     ": not valid JSON");
+  } catch (const json::exception& error) {
+    // A number too large for any type is another class of error.
+    return Fail(ErrorKind::kBadRequest, error.what());
   }
 }
 
--- a/src/libsnipeworks/parsers_test.cpp
+++ b/src/libsnipeworks/parsers_test.cpp
@@ -9,6 +9,7 @@
 #include "snipeworks/control_messages.h"
 #include "snipeworks/fleet_settings.h"
 #include "snipeworks/host_settings.h"
+#include "snipeworks/json_reader.h"
 #include "snipeworks/target_protocol.h"
 #include "snipeworks/trace.h"
 
@@ -96,6 +97,12 @@
   (void)Decode<ControlCommand>(Damaged(Encode(ControlCommand())));
 }
 
+TEST(Parsers, ANumberTooLargeIsRefused) {
+  auto parsed = ParseJson(R"({"limit":1e990})");
+  ASSERT_FALSE(parsed);
+  EXPECT_EQ(parsed.error().kind, ErrorKind::kBadRequest);
+}
+
 TEST(Parsers, MessagesComeBackAsTheyWent) {
   ConsensusMessage message;
   message.kind = ConsensusKind::kSnapshot;
--- a/src/libsnipeworks/part_queue.cpp
+++ b/src/libsnipeworks/part_queue.cpp
@@ -47,4 +47,12 @@
   return ahead;
 }
 
+std::size_t PartQueue::AheadInClass(const PartKey& key,
+                                    RequestClass request_class) const {
+  auto found = queues_.find(key);
+  return found == queues_.end()
+             ? 0
+             : found->second[static_cast<std::size_t>(request_class)].size();
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/request_filters.cpp
+++ b/src/libsnipeworks/request_filters.cpp
@@ -8,7 +8,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxQueryBytes = 16 * 1024;
+constexpr std::size_t kMaxQueryBytes = std::size_t{16} * 1024;
 constexpr Duration kMinBudget = milliseconds(1);
 constexpr Duration kMaxBudget = milliseconds(60000);
 constexpr Duration kNoTargetRetryAfter = milliseconds(1000);
@@ -72,27 +72,36 @@
               poison_.RefusedFor(context.now, context.fingerprint));
 }
 
-// The wait of the part with the longest queue, by what its replicas can run.
+int AdmissionFilter::Capacity(Instant now,
+                              const std::vector<std::string>& replicas) const {
+  int capacity = 0;
+  for (const std::string& name : replicas) {
+    const TargetStats* stats = selector_.Stats(name);
+    if (stats != nullptr && !stats->IsEjected(now)) {
+      capacity += stats->limit();
+    }
+  }
+  return std::max(1, capacity);
+}
+
+// The wait of the part with the longest queue.
 Duration AdmissionFilter::ExpectedWait(const SearchContext& context) const {
   const PinnedSnapshot& snapshot = *context.snapshot;
-  const Duration service = context.group->Reference();
+  const RequestClass request_class = context.request.request_class;
   Duration longest{};
   for (std::size_t i = 0; i < snapshot.replicas.size(); ++i) {
     const PartKey key{context.request.group, snapshot.id(),
                       snapshot.manifest.parts[i].part};
-    const std::size_t ahead = queue_.Ahead(key, context.request.request_class);
-    if (ahead == 0) {
+    GroupState::Backlog backlog;
+    backlog.ahead = queue_.Ahead(key, request_class);
+    if (backlog.ahead == 0) {
       continue;
     }
-    int capacity = 0;
-    for (const std::string& name : snapshot.replicas[i]) {
-      const TargetStats* stats = selector_.Stats(name);
-      if (stats != nullptr && !stats->IsEjected(context.now)) {
-        capacity += stats->limit();
-      }
-    }
-    const auto rounds = static_cast<std::int64_t>(ahead + 1);
-    longest = std::max(longest, service * rounds / std::max(1, capacity));
+    backlog.own_class = queue_.AheadInClass(key, request_class);
+    backlog.capacity = Capacity(context.now, snapshot.replicas[i]);
+    backlog.parts = snapshot.replicas.size();
+    longest = std::max(longest, context.group->ExpectedWait(
+                                    context.now, request_class, backlog));
   }
   return longest;
 }
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -38,14 +38,20 @@
 struct SoftDeadlineTimer {
   RequestId request;
 };
+struct GiveUpTimer {
+  RequestId request;
+};
 struct HedgeTimer {
   AttemptId attempt;
 };
 struct ProbeTimer {
   AttemptId attempt;
 };
-using Timer =
-    std::variant<DeadlineTimer, SoftDeadlineTimer, HedgeTimer, ProbeTimer>;
+using Timer = std::variant<DeadlineTimer,
+                           SoftDeadlineTimer,
+                           GiveUpTimer,
+                           HedgeTimer,
+                           ProbeTimer>;
 
 // One attempt whose outcome has not arrived. It can outlive its search.
 struct AttemptRun {
@@ -113,7 +119,7 @@
     return same ? AnnounceResult::kRenewal : AnnounceResult::kChange;
   }
 
-  void Submit(Instant now, SearchRequest request) {
+  void Submit(Instant now, const SearchRequest& request) {
     SearchContext context{now, request};
     Result<void> admitted = filters_.Apply(context);
     if (!admitted) {
@@ -123,8 +129,8 @@
     }
     const RequestId id = request.id;
     auto [slot, added] =
-        searches_.try_emplace(id, std::move(request), context.group->policy,
-                              now, context.budget, context.fingerprint);
+        searches_.try_emplace(id, request, context.group->policy, now,
+                              context.budget, context.fingerprint);
     SearchRun& search = slot->second;
     search.Pin(context.snapshot);
     AddDeadlines(search);
@@ -175,6 +181,7 @@
 
   // The way of a search.
   void AddDeadlines(const SearchRun& search);
+  void GiveUp(Instant now, RequestId id);
   void Begin(Instant now, SearchRun& search, Standing standing);
   void StartCanary(Instant now, SearchRun& search);
   void StartFanOut(Instant now, SearchRun& search);
@@ -279,6 +286,25 @@
         search.started() + milliseconds(search.policy().soft_deadline_ms);
     timers_.Add(soft, SoftDeadlineTimer{id});
   }
+  if (search.policy().admission != 0) {
+    const Duration needed = EnsureGroup(search.request().group).Reference() / 2;
+    timers_.Add(search.AnswerBy() - needed, GiveUpTimer{id});
+  }
+}
+
+// What has not been started by now would come too late: its caller is told at
+// once, and not at the deadline.
+void SearchController::Impl::GiveUp(Instant now, RequestId id) {
+  SearchRun* search = FindSearch(id);
+  if (search == nullptr || search->Started()) {
+    return;
+  }
+  const bool waits =
+      search->phase == SearchPhase::kFanOut ||
+      search->parts()[search->canary_part].status == PartStatus::kWaiting;
+  if (waits) {
+    Finish(now, *search);
+  }
 }
 
 void SearchController::Impl::Begin(Instant now,
@@ -439,6 +465,7 @@
   part.running.push_back(id);
   part.tried.push_back(target.target);
   selector_.Stats(target.target)->OnStart();
+  group.OnDispatch(now, search.request().request_class);
   switch (kind) {
     case AttemptKind::kPrimary:
       ++search.attempts.primary;
@@ -935,6 +962,8 @@
       if (search != nullptr && search->AnsweredParts() > 0) {
         Finish(now, *search);
       }
+    } else if (const auto* give_up = std::get_if<GiveUpTimer>(&*timer)) {
+      GiveUp(now, give_up->request);
     } else if (const auto* hedge = std::get_if<HedgeTimer>(&*timer)) {
       Hedge(now, hedge->attempt);
     } else if (const auto* probe = std::get_if<ProbeTimer>(&*timer)) {
@@ -1019,8 +1048,8 @@
   return impl_->Announce(now, news, age);
 }
 
-void SearchController::Submit(Instant now, SearchRequest request) {
-  impl_->Submit(now, std::move(request));
+void SearchController::Submit(Instant now, const SearchRequest& request) {
+  impl_->Submit(now, request);
 }
 
 void SearchController::OnCallerGone(Instant now, RequestId request) {
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -106,16 +106,16 @@
   client_.Send(call, [this, running](const HttpCallResult& result) {
     AttemptOutcome outcome;
     const ProbeAnswer answer = ParseProbeAnswer(result);
-    if (result.status == HttpCallStatus::kNotSent) {
-      outcome.status = AttemptStatus::kLost;
-    } else if (answer.state == ProbeState::kUnreachable) {
-      outcome.status = AttemptStatus::kFailed;
-    } else if (answer.incarnation != running.command.incarnation) {
+    const bool gone = result.status == HttpCallStatus::kNotSent;
+    const bool answered = answer.state != ProbeState::kUnreachable;
+    const bool restarted =
+        answered && answer.incarnation != running.command.incarnation;
+    if (gone || restarted) {
       outcome.status = AttemptStatus::kLost;
+    } else if (answer.state == ProbeState::kUnknown) {
+      outcome.status = AttemptStatus::kSilent;
     } else {
-      outcome.status = answer.state == ProbeState::kUnknown
-                           ? AttemptStatus::kSilent
-                           : AttemptStatus::kFailed;
+      outcome.status = AttemptStatus::kFailed;
     }
     Report(running, outcome);
   });
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxHits = 1000;
-constexpr std::size_t kMaxQueryBytes = 16 * 1024;
+constexpr std::size_t kMaxQueryBytes = std::size_t{16} * 1024;
 constexpr std::uint64_t kMaxMicroseconds = 3600ULL * 1000 * 1000;
 
 // The outcomes that a target can tell by itself.
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 constexpr unsigned kIdleTimeoutS = 60;
-constexpr std::size_t kMaxActionBytes = 16 * 1024;
+constexpr std::size_t kMaxActionBytes = std::size_t{16} * 1024;
 
 HttpResponse Text(int status, std::string body) {
   return {status, "text/plain", std::move(body), {}, false};
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -97,11 +97,13 @@
 }
 
 TraceContext EntryHost::StartTrace(const std::string& traceparent) {
+  const bool chosen = random_.Below(100) < settings_.trace_percent();
   if (auto parent = TraceContext::Parse(traceparent)) {
-    return parent->Child(random_);
+    TraceContext child = parent->Child(random_);
+    child.sampled = child.sampled || chosen;
+    return child;
   }
-  const bool sampled = random_.Below(100) < settings_.trace_percent();
-  return TraceContext::New(random_, sampled);
+  return TraceContext::New(random_, chosen);
 }
 
 void EntryHost::Search(SearchRequest request, SearchDone done) {
@@ -123,7 +125,7 @@
                                       milliseconds(1000))});
     return;
   }
-  searches_.Submit(now, std::move(request));
+  searches_.Submit(now, request);
 }
 
 void EntryHost::Act(ActionRequest request, ActionDone done) {
--- a/src/snipe-load/history_check.cpp
+++ b/src/snipe-load/history_check.cpp
@@ -11,8 +11,12 @@
 constexpr std::size_t kMaxFaults = 100;
 
 std::string Describe(const json& answer) {
-  return "trace " + answer.value("trace", "?") + " query \"" +
-         answer.value("query", "?") + "\"";
+  std::string text = "trace ";
+  text += answer.value("trace", "?");
+  text += " query \"";
+  text += answer.value("query", "?");
+  text += '"';
+  return text;
 }
 
 }  // namespace
--- a/src/snipe-target/stand_in.cpp
+++ b/src/snipe-target/stand_in.cpp
@@ -44,9 +44,9 @@
   const std::uint64_t query =
       XXH3_64bits(request.query.data(), request.query.size());
   for (int i = 0; i < kHitsPerPart; ++i) {
-    const std::uint64_t mixed =
-        XXH3_64bits_withSeed(&query, sizeof(query),
-                             request.part * 16 + static_cast<std::uint64_t>(i));
+    const std::uint64_t mixed = XXH3_64bits_withSeed(
+        &query, sizeof(query),
+        std::uint64_t{request.part} * 16 + static_cast<std::uint64_t>(i));
     Hit hit;
     hit.document = request.snapshot.digest + "/" +
                    std::to_string(request.part) + "/" + std::to_string(query) +
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -90,7 +90,7 @@
 
     def __init__(self, programs, fleet_file, settings_file, entries=3,
                  controls=3, first_port=23000, settings_version=True,
-                 folder=None, entry_disks=False):
+                 folder=None, entry_disks=False, arms=None):
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-")
         self.fleet_file = fleet_file
@@ -112,6 +112,10 @@
                 "http": f"127.0.0.1:{first_port + 200 + i}",
                 "peer": f"127.0.0.1:{first_port + 300 + i}"})
         self.entry_disks = entry_disks
+        # Names of arms and the settings file that each arm's entry hosts use;
+        # they take turns over the entry hosts. Only without control hosts.
+        self.arms = arms or {}
+        self.trace_percent = 0
 
     def program(self, name):
         return os.path.join(self.programs, name)
@@ -129,6 +133,13 @@
     def arm(self, name="all"):
         return name + "=" + ",".join(self.entries())
 
+    def all_arms(self):
+        """Every arm as snipe-load takes them."""
+        names = list(self.arms)
+        return ";".join(
+            name + "=" + ",".join(self.entries()[i::len(names)])
+            for i, name in enumerate(names))
+
     def write_settings(self, host, data_folder):
         peers = lambda hosts: [
             {"host": one["host"], "zone": one["zone"], "peer": one["peer"]}
@@ -139,6 +150,7 @@
         settings["allow_faults"] = True
         settings["shutdown_hold_ms"] = 500
         settings["traces"] = self.path(host["host"] + ".traces")
+        settings["trace_percent"] = self.trace_percent
         if data_folder:
             settings["data_folder"] = self.path(data_folder)
         path = self.path(host["host"] + ".jsonc")
@@ -178,7 +190,8 @@
         settings = self.write_settings(host, host["host"] + ".data" if self.entry_disks else "")
         command = [self.program("snipe-entry"), "--settings", settings, "--log-level", "1"]
         if not self.control_hosts:
-            command += ["--fleet-settings", self.settings_file]
+            files = list(self.arms.values()) or [self.settings_file]
+            command += ["--fleet-settings", files[index % len(files)]]
         return self.run(host["host"], command)
 
     def start_targets(self, zone=None, only=None, name=None):
