Split the search engine and the log by concern; mend a crash at exit

Change: four sources for the search engine, three for the log, with no change of behaviour; a loop drops such tasks before it closes. Tests of the loop and of the transport between hosts. mutations.py takes one mechanism at a time out of a scratch copy and expects its tests to fail.

--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -77,6 +77,8 @@
   std::uint64_t seed = 1;
 };
 
+class SearchEngine;
+
 /// Runs searches from admission to answer: pins a snapshot, chooses replicas,
 /// hedges, retries, sheds and merges. Does no I/O and reads no clock; inputs
 /// are calls with the time, outputs are the actions taken with TakeActions.
@@ -143,8 +145,7 @@
   std::size_t waiting() const;
 
  private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  std::unique_ptr<SearchEngine> impl_;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/event_loop.cpp
+++ b/src/libsnipeworks/event_loop.cpp
@@ -61,7 +61,9 @@
     wake_.data = this;
   }
 
+  // Tasks that were never run can own handles of this loop, so they go first.
   ~Impl() {
+    posted_.clear();
     uv_walk(&loop_, CloseLeftover, nullptr);
     uv_run(&loop_, UV_RUN_DEFAULT);
     uv_loop_close(&loop_);
--- /dev/null
+++ b/src/libsnipeworks/event_loop_test.cpp
@@ -0,0 +1,100 @@
+#include "snipeworks/event_loop.h"
+
+#include <gtest/gtest.h>
+
+#include "snipeworks/http_client.h"
+#include "snipeworks/peer_transport.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kPeer[] = "127.0.0.1:23990";
+
+TEST(EventLoops, GoAwayWithTasksThatOwnTheirHandles) {
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpCall call;
+  call.address = "127.0.0.1:1";
+  const HttpCallId id = client.Send(call, [](const HttpCallResult&) {});
+  client.Abort(id);
+}
+
+TEST(EventLoops, RunTimersInOrder) {
+  EventLoop loop;
+  std::string order;
+  loop.After(milliseconds(20), [&] {
+    order += "b";
+    loop.Stop();
+  });
+  loop.After(milliseconds(5), [&] { order += "a"; });
+  loop.Run();
+  EXPECT_EQ(order, "ab");
+}
+
+class Peers : public testing::Test {
+ protected:
+  void Serve(const PeerServer::Handler& handler) {
+    auto started = PeerServer::Start(loop, *Address::Parse(kPeer), handler);
+    ASSERT_TRUE(started) << started.error().detail;
+    server = std::move(*started);
+  }
+  PeerResult Call(const std::string& payload, Duration timeout) {
+    PeerResult answer;
+    client.Call(kPeer, "/echo", payload, timeout,
+                [&](const PeerResult& result) {
+                  answer = result;
+                  loop.Stop();
+                });
+    loop.Run();
+    return answer;
+  }
+
+  EventLoop loop;
+  PeerClient client{loop};
+  std::unique_ptr<PeerServer> server;
+};
+
+TEST_F(Peers, CarryPayloadsOfAnySize) {
+  Serve([](const std::string&, const std::string& payload,
+           const PeerServer::Reply& reply) { reply(payload); });
+  for (std::size_t size : {0U, 1U, 100000U, 20000000U}) {
+    const std::string payload(size, 'x');
+    const PeerResult answer = Call(payload, seconds(10));
+    ASSERT_TRUE(answer) << size;
+    EXPECT_EQ(*answer, payload);
+  }
+}
+
+TEST_F(Peers, ACutLinkTimesOutAndAMendedOneWorks) {
+  Serve([](const std::string&, const std::string& payload,
+           const PeerServer::Reply& reply) { reply(payload); });
+  client.SetCut(kPeer, true);
+  EXPECT_EQ(Call("x", milliseconds(50)).error(), PeerFailure::kTimeout);
+  client.SetCut(kPeer, false);
+  EXPECT_TRUE(Call("x", seconds(1)));
+}
+
+TEST_F(Peers, ASilentConnectionIsReplacedAfterOneTimeout) {
+  int calls = 0;
+  PeerServer::Reply kept;
+  Serve([&](const std::string&, const std::string& payload,
+            const PeerServer::Reply& reply) {
+    if (++calls == 1) {
+      kept = reply;
+    } else {
+      reply(payload);
+    }
+  });
+  EXPECT_EQ(Call("x", milliseconds(50)).error(), PeerFailure::kTimeout);
+  EXPECT_TRUE(Call("x", seconds(1)));
+}
+
+TEST_F(Peers, NobodyThereIsUnreachable) {
+  EXPECT_EQ(Call("x", seconds(1)).error(), PeerFailure::kUnreachable);
+}
+
+}  // namespace
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/search_engine.h
@@ -0,0 +1,194 @@
+#ifndef SNIPEWORKS_LIBSNIPEWORKS_SEARCH_ENGINE_H_
+#define SNIPEWORKS_LIBSNIPEWORKS_SEARCH_ENGINE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "snipeworks/group_state.h"
+#include "snipeworks/part_queue.h"
+#include "snipeworks/random.h"
+#include "snipeworks/replica_selector.h"
+#include "snipeworks/request_filters.h"
+#include "snipeworks/search_controller.h"
+#include "snipeworks/search_run.h"
+#include "snipeworks/target_view.h"
+#include "snipeworks/timer_queue.h"
+
+namespace snipeworks {
+
+/// The caller's deadline is near.
+struct DeadlineTimer {
+  RequestId request;
+};
+/// The group's soft deadline has come.
+struct SoftDeadlineTimer {
+  RequestId request;
+};
+/// A search that was not started by now would come too late.
+struct GiveUpTimer {
+  RequestId request;
+};
+/// An attempt counts as slow.
+struct HedgeTimer {
+  AttemptId attempt;
+};
+/// An attempt's connection is doubted.
+struct ProbeTimer {
+  AttemptId attempt;
+};
+/// What a search can wait for.
+using SearchTimer = std::variant<DeadlineTimer,
+                                 SoftDeadlineTimer,
+                                 GiveUpTimer,
+                                 HedgeTimer,
+                                 ProbeTimer>;
+
+/// One attempt whose outcome has not arrived. It can outlive its search.
+struct AttemptRun {
+  RequestId request = 0;
+  std::size_t part_index = 0;
+  AttemptKind kind = AttemptKind::kPrimary;
+  std::string target;
+  std::string group;
+  SnapshotId snapshot;
+  Fingerprint fingerprint = 0;
+  bool sole = false;  ///< The only part of its request that was running.
+  bool probed = false;
+  Instant started{};
+};
+
+/// Searches with one fingerprint, of which the first runs its canary.
+struct CanaryLine {
+  RequestId leader = 0;
+  std::deque<RequestId> followers;
+};
+
+/// When to come back after a failure that says nothing of when it ends.
+inline constexpr Duration kFailedRetryAfter = std::chrono::milliseconds(1000);
+
+/// What a SearchController hides: all searches of one entry host. Its sources
+/// are split by concern: search_engine.cpp (targets, timers), search_flow.cpp
+/// (from admission to answer), search_outcomes.cpp (attempts) and
+/// search_poison.cpp (requests that break targets).
+class SearchEngine {
+ public:
+  explicit SearchEngine(SearchControllerConfig config);
+
+  void ApplySettings(const FleetSettings& settings);
+  AnnounceResult Announce(Instant now, const Announcement& news, Duration age);
+  void Submit(Instant now, const SearchRequest& request);
+  void OnCallerGone(Instant now, RequestId request);
+  void OnOutcome(Instant now, AttemptId id, const AttemptOutcome& outcome);
+  void OnProbe(Instant now, AttemptId id, ProbeState state);
+  bool OnEvidence(Instant now, const PoisonEvidence& evidence);
+  void OnEvidenceShared(Instant now, Fingerprint fingerprint, bool elsewhere);
+  void Tick(Instant now);
+
+  Result<ActionTarget> TakeTarget(Instant now,
+                                  const std::string& name,
+                                  const std::vector<std::string>& tried);
+  void ReleaseTarget(Instant now,
+                     const std::string& name,
+                     const std::string& target,
+                     const AttemptOutcome& outcome,
+                     Duration latency);
+
+  std::optional<Instant> NextDue() const { return timers_.NextDue(); }
+  std::vector<SearchAction> TakeActions() {
+    return std::exchange(actions_, {});
+  }
+  const PoisonTracker& poison() const { return poison_; }
+  PoisonTracker& poison() { return poison_; }
+  const TargetView& view() const { return view_; }
+  const ReplicaSelector& selector() const { return selector_; }
+  std::size_t running() const { return searches_.size(); }
+  std::size_t waiting() const { return queue_.size(); }
+
+ private:
+  // Groups and targets.
+  GroupState& EnsureGroup(const std::string& name);
+  GroupState* FindGroup(const std::string& name);
+  SearchRun* FindSearch(RequestId id);
+  void MarkReady(const Announcement& target);
+
+  // The way of a search.
+  void AddDeadlines(const SearchRun& search);
+  void GiveUp(Instant now, RequestId id);
+  void Begin(Instant now, SearchRun& search, PoisonTracker::Standing standing);
+  void StartCanary(Instant now, SearchRun& search);
+  void StartFanOut(Instant now, SearchRun& search);
+  void Enqueue(SearchRun& search, std::size_t part_index, AttemptKind kind);
+  void Pump(Instant now);
+  PartQueue::Offer Dispatch(Instant now, const WaitingPart& waiting);
+  bool CannotFinish(Instant now,
+                    const SearchRun& search,
+                    const GroupState& group) const;
+  void StartOne(Instant now,
+                SearchRun& search,
+                std::size_t part_index,
+                AttemptKind kind,
+                const Announcement& target);
+  void AfterChange(Instant now, SearchRun& search);
+  void MissPart(SearchRun& search,
+                std::size_t part_index,
+                MissingReason reason);
+  bool Replan(Instant now, SearchRun& search);
+  void Finish(Instant now, SearchRun& search);
+  void FinishWith(Instant now, SearchRun& search, Error error);
+  void Remove(Instant now, SearchRun& search);
+  void CancelPart(PartRun& part);
+
+  // Outcomes.
+  void TakeAnswer(Instant now,
+                  SearchRun& search,
+                  const AttemptRun& run,
+                  const AttemptOutcome& outcome);
+  void TakeRefusal(SearchRun& search,
+                   const AttemptRun& run,
+                   AttemptStatus status);
+  void TakeFailure(Instant now,
+                   SearchRun& search,
+                   const AttemptRun& run,
+                   AttemptStatus status);
+  void Hedge(Instant now, AttemptId id);
+  void Probe(AttemptId id);
+
+  // Requests that break targets.
+  void TakeLoss(Instant now, SearchRun& search, const AttemptRun& run);
+  void TakeSurvival(Instant now, SearchRun& search);
+  void CountBroken(Instant now, SearchRun* search, const AttemptRun& run);
+  void Condemn(Instant now, Fingerprint fingerprint);
+  void ReleaseCanaryLine(Instant now, Fingerprint fingerprint, bool survived);
+
+  SearchControllerConfig config_;
+  Random random_;
+  FleetSettings settings_;
+  TargetView view_;
+  ReplicaSelector selector_;
+  PoisonTracker poison_;
+  PartQueue queue_;
+  FilterChain<SyntaxFilter, SnapshotFilter, QuarantineFilter, AdmissionFilter>
+      filters_;
+  std::map<std::string, GroupState> groups_;
+  std::unordered_map<RequestId, SearchRun> searches_;
+  std::unordered_map<AttemptId, AttemptRun> attempts_;
+  std::map<Fingerprint, CanaryLine> canaries_;
+  std::set<PartKey> ready_;
+  TimerQueue<SearchTimer> timers_;
+  std::vector<SearchAction> actions_;
+  AttemptId next_attempt_ = 1;
+  Instant pruned_at_{};
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_LIBSNIPEWORKS_SEARCH_ENGINE_H_
--- /dev/null
+++ b/src/libsnipeworks/search_flow.cpp
@@ -0,0 +1,338 @@
+#include "search_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Standing = PoisonTracker::Standing;
+
+// The answer leaves this long before the caller's deadline.
+constexpr Duration kAnswerMargin = milliseconds(2);
+
+}  // namespace
+
+void SearchEngine::AddDeadlines(const SearchRun& search) {
+  const RequestId id = search.request().id;
+  timers_.Add(search.deadline() - kAnswerMargin, DeadlineTimer{id});
+  if (search.policy().answer_rule() == AnswerRule::kSoftDeadline) {
+    const Instant soft =
+        search.started() + milliseconds(search.policy().soft_deadline_ms);
+    timers_.Add(soft, SoftDeadlineTimer{id});
+  }
+  if (search.policy().admission != 0) {
+    const Duration needed = EnsureGroup(search.request().group).Reference() / 2;
+    timers_.Add(search.AnswerBy() - needed, GiveUpTimer{id});
+  }
+}
+
+// What has not been started by now would come too late: its caller is told at
+// once, and not at the deadline.
+void SearchEngine::GiveUp(Instant now, RequestId id) {
+  SearchRun* search = FindSearch(id);
+  if (search == nullptr || search->Started()) {
+    return;
+  }
+  const bool waits =
+      search->phase == SearchPhase::kFanOut ||
+      search->parts()[search->canary_part].status == PartStatus::kWaiting;
+  if (waits) {
+    Finish(now, *search);
+  }
+}
+
+void SearchEngine::Begin(Instant now, SearchRun& search, Standing standing) {
+  const Canary rule = search.policy().canary_rule();
+  const bool suspected = standing == Standing::kSuspected;
+  const bool unknown = standing == Standing::kUnknown;
+  const bool needs_canary =
+      rule != Canary::kOff &&
+      (suspected || (unknown && rule == Canary::kUnknown));
+  if (!needs_canary) {
+    StartFanOut(now, search);
+    return;
+  }
+  auto [slot, added] = canaries_.try_emplace(search.fingerprint());
+  if (!added) {
+    search.phase = SearchPhase::kCanaryQueued;
+    slot->second.followers.push_back(search.request().id);
+    return;
+  }
+  slot->second.leader = search.request().id;
+  StartCanary(now, search);
+}
+
+// Runs the held part with the most replicas, from a random one on.
+void SearchEngine::StartCanary(Instant now, SearchRun& search) {
+  search.phase = SearchPhase::kCanary;
+  const std::size_t count = search.parts().size();
+  const std::size_t offset = random_.Below(count);
+  std::optional<std::size_t> best;
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::size_t index = (i + offset) % count;
+    const PartRun& part = search.parts()[index];
+    const std::size_t replicas = selector_.CountUsable(
+        {now, search.ReplicasOf(index), part.tried, {}, search.policy()});
+    if (part.status == PartStatus::kHeld && replicas > most) {
+      most = replicas;
+      best = index;
+    }
+  }
+  if (!best) {
+    ReleaseCanaryLine(now, search.fingerprint(), false);
+    StartFanOut(now, search);
+    return;
+  }
+  search.canary_part = *best;
+  Enqueue(search, *best, AttemptKind::kPrimary);
+}
+
+void SearchEngine::StartFanOut(Instant now, SearchRun& search) {
+  search.phase = SearchPhase::kFanOut;
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    if (search.parts()[i].status == PartStatus::kHeld) {
+      Enqueue(search, i, AttemptKind::kPrimary);
+    }
+  }
+  AfterChange(now, search);
+}
+
+void SearchEngine::Enqueue(SearchRun& search,
+                           std::size_t part_index,
+                           AttemptKind kind) {
+  search.parts()[part_index].status = PartStatus::kWaiting;
+  const PartKey key = search.KeyOf(part_index);
+  queue_.Add(key, search.request().request_class,
+             {search.request().id, part_index, kind});
+  ready_.insert(key);
+}
+
+// Dispatching can finish a search or queue more parts, which makes more keys
+// ready; the loop ends when none is left.
+void SearchEngine::Pump(Instant now) {
+  while (!ready_.empty()) {
+    const PartKey key = *ready_.begin();
+    ready_.erase(ready_.begin());
+    queue_.Drain(key, [&](const WaitingPart& waiting) {
+      return Dispatch(now, waiting);
+    });
+  }
+}
+
+// True for a search that has waited so long for slots that an attempt made now
+// would come too late: its slot is better used by another.
+bool SearchEngine::CannotFinish(Instant now,
+                                const SearchRun& search,
+                                const GroupState& group) const {
+  if (search.policy().admission == 0) {
+    return false;
+  }
+  const Duration needed = group.Reference() / 2;
+  const bool waited = now - search.started() > needed;
+  return waited && search.AnswerBy() - now < needed;
+}
+
+PartQueue::Offer SearchEngine::Dispatch(Instant now,
+                                        const WaitingPart& waiting) {
+  SearchRun* search = FindSearch(waiting.request);
+  if (search == nullptr) {
+    return PartQueue::Offer::kTaken;
+  }
+  const std::size_t index = waiting.part_index;
+  if (index >= search->parts().size() ||
+      search->parts()[index].status != PartStatus::kWaiting) {
+    return PartQueue::Offer::kTaken;
+  }
+  PartRun& part = search->parts()[index];
+  GroupState& group = EnsureGroup(search->request().group);
+  if (CannotFinish(now, *search, group)) {
+    MissPart(*search, index, MissingReason::kLate);
+    AfterChange(now, *search);
+    return PartQueue::Offer::kTaken;
+  }
+  const ReplicaChoice choice =
+      selector_.Choose({now, search->ReplicasOf(index), part.tried,
+                        group.Reference(), search->policy()});
+  switch (choice.state) {
+    case ReplicaChoice::State::kBusy:
+      return PartQueue::Offer::kBusy;
+    case ReplicaChoice::State::kNone:
+      if (part.reason == MissingReason::kWrongSnapshot &&
+          Replan(now, *search)) {
+        return PartQueue::Offer::kTaken;
+      }
+      MissPart(*search, index,
+               part.tried.empty() ? MissingReason::kNoTarget : part.reason);
+      AfterChange(now, *search);
+      return PartQueue::Offer::kTaken;
+    case ReplicaChoice::State::kChosen:
+      StartOne(now, *search, index, waiting.kind, *choice.target);
+      return PartQueue::Offer::kTaken;
+  }
+  return PartQueue::Offer::kTaken;
+}
+
+void SearchEngine::StartOne(Instant now,
+                            SearchRun& search,
+                            std::size_t part_index,
+                            AttemptKind kind,
+                            const Announcement& target) {
+  GroupState& group = EnsureGroup(search.request().group);
+  PartRun& part = search.parts()[part_index];
+  const AttemptId id = next_attempt_++;
+  const bool sole = search.phase == SearchPhase::kCanary;
+  attempts_[id] = {search.request().id,
+                   part_index,
+                   kind,
+                   target.target,
+                   target.group,
+                   search.snapshot().id(),
+                   search.fingerprint(),
+                   sole,
+                   false,
+                   now};
+  part.status = PartStatus::kRunning;
+  part.started = true;
+  part.running.push_back(id);
+  part.tried.push_back(target.target);
+  selector_.Stats(target.target)->OnStart();
+  group.OnDispatch(now, search.request().request_class);
+  switch (kind) {
+    case AttemptKind::kPrimary:
+      ++search.attempts.primary;
+      group.extra_attempts.OnPrimary(
+          static_cast<double>(group.policy.extra_attempts_percent));
+      break;
+    case AttemptKind::kHedge:
+      ++search.attempts.hedge;
+      break;
+    case AttemptKind::kRetry:
+      ++search.attempts.retry;
+      break;
+    case AttemptKind::kReplacement:
+      ++search.attempts.replacement;
+      break;
+  }
+  AttemptCommand command;
+  command.id = id;
+  command.request = search.request().id;
+  command.kind = kind;
+  command.target = target.target;
+  command.incarnation = target.incarnation;
+  command.address = target.address;
+  command.group = target.group;
+  command.snapshot = search.snapshot().id();
+  command.part = search.NumberOf(part_index);
+  command.query = search.query();
+  command.budget = search.deadline() - now;
+  command.fresh_connection = sole && !search.lost_targets.empty();
+  command.trace_parent = search.request().trace_parent;
+  actions_.emplace_back(StartAttempt{std::move(command)});
+  if (auto delay = group.HedgeDelay(now)) {
+    timers_.Add(now + *delay, HedgeTimer{id});
+  }
+  timers_.Add(now + group.ProbeDelay(), ProbeTimer{id});
+}
+
+void SearchEngine::MissPart(SearchRun& search,
+                            std::size_t part_index,
+                            MissingReason reason) {
+  PartRun& part = search.parts()[part_index];
+  part.status = PartStatus::kMissing;
+  part.reason = reason;
+}
+
+// Moves a search on after one of its parts has ended.
+void SearchEngine::AfterChange(Instant now, SearchRun& search) {
+  if (search.phase == SearchPhase::kCanary) {
+    const PartStatus status = search.parts()[search.canary_part].status;
+    if (status == PartStatus::kMissing) {
+      StartCanary(now, search);
+    }
+    return;
+  }
+  if (search.phase == SearchPhase::kFanOut && search.Settled()) {
+    Finish(now, search);
+  }
+}
+
+// Starts over on another snapshot, once, if the pinned one is gone.
+bool SearchEngine::Replan(Instant now, SearchRun& search) {
+  GroupState& group = EnsureGroup(search.request().group);
+  group.Invalidate();
+  auto snapshot = group.Snapshot(now, view_);
+  const bool possible = !search.replanned && snapshot &&
+                        snapshot->id() != search.snapshot().id() &&
+                        search.deadline() - now > group.Reference();
+  if (!possible) {
+    return false;
+  }
+  for (PartRun& part : search.parts()) {
+    CancelPart(part);
+  }
+  search.replanned = true;
+  search.Pin(std::move(snapshot));
+  if (search.phase == SearchPhase::kCanary) {
+    StartCanary(now, search);
+  } else {
+    StartFanOut(now, search);
+  }
+  return true;
+}
+
+void SearchEngine::Finish(Instant now, SearchRun& search) {
+  if (search.AnsweredParts() > 0) {
+    actions_.emplace_back(FinishSearch{search.request().id, search.Answer()});
+    Remove(now, search);
+    return;
+  }
+  Error error;
+  error.retry_after = kFailedRetryAfter;
+  if (!search.Started()) {
+    const bool waited =
+        std::ranges::any_of(search.parts(), [](const PartRun& part) {
+          return part.status != PartStatus::kMissing ||
+                 part.reason == MissingReason::kLate;
+        });
+    error.kind = waited ? ErrorKind::kOverloaded : ErrorKind::kNoTarget;
+    error.detail = "no part was sent to a target";
+  } else {
+    error.kind =
+        search.Settled() ? ErrorKind::kTargetsFailed : ErrorKind::kDeadline;
+    error.detail = "no part was answered";
+  }
+  FinishWith(now, search, std::move(error));
+}
+
+void SearchEngine::FinishWith(Instant now, SearchRun& search, Error error) {
+  actions_.emplace_back(
+      FinishSearch{search.request().id, tl::unexpected(std::move(error))});
+  Remove(now, search);
+}
+
+// Attempts stay in attempts_ until their outcome arrives: they still hold a
+// slot at their target.
+void SearchEngine::Remove(Instant now, SearchRun& search) {
+  for (PartRun& part : search.parts()) {
+    CancelPart(part);
+  }
+  const RequestId id = search.request().id;
+  const Fingerprint fingerprint = search.fingerprint();
+  searches_.erase(id);
+  auto line = canaries_.find(fingerprint);
+  if (line != canaries_.end() && line->second.leader == id) {
+    ReleaseCanaryLine(now, fingerprint, false);
+  }
+}
+
+void SearchEngine::CancelPart(PartRun& part) {
+  for (AttemptId id : std::exchange(part.running, {})) {
+    actions_.emplace_back(CancelAttempt{id, attempts_.at(id).target});
+  }
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -0,0 +1,193 @@
+#include "search_engine.h"
+
+#include <algorithm>
+
+namespace snipeworks {
+
+namespace {
+
+// Hedges leave this many tokens of the extra budget to retries.
+constexpr double kRetryReserve = 2.0;
+
+}  // namespace
+
+void SearchEngine::OnOutcome(Instant now,
+                             AttemptId id,
+                             const AttemptOutcome& outcome) {
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const AttemptRun run = found->second;
+  attempts_.erase(found);
+  const Duration latency = now - run.started;
+  GroupState& group = EnsureGroup(run.group);
+  if (TargetStats* stats = selector_.Stats(run.target)) {
+    stats->OnFinish(now, outcome, latency, group.policy);
+  }
+  if (outcome.status == AttemptStatus::kAnswered ||
+      outcome.status == AttemptStatus::kCancelled) {
+    group.OnLatency(latency);
+  }
+  if (outcome.status == AttemptStatus::kShed) {
+    group.OnShed(now);
+  }
+  if (const Announcement* target = view_.Usable(now, run.target)) {
+    MarkReady(*target);
+  }
+  SearchRun* search = FindSearch(run.request);
+  PartRun* part = nullptr;
+  if (search != nullptr && run.part_index < search->parts().size()) {
+    part = &search->parts()[run.part_index];
+  }
+  // An attempt that its part no longer lists was cancelled.
+  if (part == nullptr || std::erase(part->running, id) == 0) {
+    if (outcome.status == AttemptStatus::kLost && run.sole) {
+      CountBroken(now, nullptr, run);
+    }
+    Pump(now);
+    return;
+  }
+  if (outcome.status == AttemptStatus::kAnswered) {
+    TakeAnswer(now, *search, run, outcome);
+  } else if (ProvesNotRun(outcome.status) &&
+             outcome.status != AttemptStatus::kShed) {
+    TakeRefusal(*search, run, outcome.status);
+  } else if (outcome.status == AttemptStatus::kLost) {
+    TakeLoss(now, *search, run);
+  } else {
+    TakeFailure(now, *search, run, outcome.status);
+  }
+  if ((search = FindSearch(run.request)) != nullptr) {
+    AfterChange(now, *search);
+  }
+  Pump(now);
+}
+
+void SearchEngine::TakeAnswer(Instant now,
+                              SearchRun& search,
+                              const AttemptRun& run,
+                              const AttemptOutcome& outcome) {
+  const bool right = outcome.snapshot == search.snapshot().id() &&
+                     outcome.part == search.NumberOf(run.part_index);
+  if (!right) {
+    TakeRefusal(search, run, AttemptStatus::kWrongSnapshot);
+    return;
+  }
+  PartRun& part = search.parts()[run.part_index];
+  const std::uint64_t in_manifest =
+      search.snapshot().manifest.parts[run.part_index].documents;
+  part.status = PartStatus::kAnswered;
+  part.documents = std::min(outcome.documents, in_manifest);
+  part.hits = outcome.hits;
+  CancelPart(part);
+  if (search.phase == SearchPhase::kCanary ||
+      search.phase == SearchPhase::kAskingPeers) {
+    TakeSurvival(now, search);
+    StartFanOut(now, search);
+  }
+}
+
+// The target proved that it did not run the part: another may, at no extra
+// load.
+void SearchEngine::TakeRefusal(SearchRun& search,
+                               const AttemptRun& run,
+                               AttemptStatus status) {
+  PartRun& part = search.parts()[run.part_index];
+  part.reason = status == AttemptStatus::kWrongSnapshot
+                    ? MissingReason::kWrongSnapshot
+                    : MissingReason::kRefused;
+  if (part.running.empty() && part.status == PartStatus::kRunning) {
+    Enqueue(search, run.part_index, AttemptKind::kReplacement);
+  }
+}
+
+void SearchEngine::TakeFailure(Instant now,
+                               SearchRun& search,
+                               const AttemptRun& run,
+                               AttemptStatus status) {
+  PartRun& part = search.parts()[run.part_index];
+  part.reason = status == AttemptStatus::kShed ? MissingReason::kRefused
+                                               : MissingReason::kFailed;
+  if (!part.running.empty() || part.status != PartStatus::kRunning) {
+    return;
+  }
+  GroupState& group = EnsureGroup(search.request().group);
+  const bool replica_left =
+      selector_.CountUsable({now,
+                             search.ReplicasOf(run.part_index),
+                             part.tried,
+                             {},
+                             search.policy()}) > 0;
+  if (replica_left && group.extra_attempts.TryTake()) {
+    Enqueue(search, run.part_index, AttemptKind::kRetry);
+    return;
+  }
+  MissPart(search, run.part_index, part.reason);
+}
+
+void SearchEngine::OnProbe(Instant now, AttemptId id, ProbeState state) {
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  SearchRun* search = FindSearch(found->second.request);
+  if (search == nullptr) {
+    return;
+  }
+  if (state == ProbeState::kUnknown) {
+    // The connection is silent. The outcome of the cancelled attempt only
+    // frees its place at the target.
+    const AttemptRun run = found->second;
+    PartRun& part = search->parts()[run.part_index];
+    if (std::erase(part.running, id) == 0) {
+      return;
+    }
+    actions_.emplace_back(CancelAttempt{id, run.target});
+    std::erase(part.tried, run.target);
+    TakeRefusal(*search, run, AttemptStatus::kSilent);
+  }
+  Pump(now);
+}
+
+void SearchEngine::Hedge(Instant now, AttemptId id) {
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const AttemptRun run = found->second;
+  SearchRun* search = FindSearch(run.request);
+  if (search == nullptr) {
+    return;
+  }
+  PartRun& part = search->parts()[run.part_index];
+  GroupState& group = EnsureGroup(run.group);
+  const bool wanted =
+      part.status == PartStatus::kRunning && !part.hedged &&
+      std::ranges::find(part.running, id) != part.running.end() &&
+      search->lost_targets.empty() && group.HedgeDelay(now);
+  if (!wanted) {
+    return;
+  }
+  const ReplicaChoice choice =
+      selector_.Choose({now, search->ReplicasOf(run.part_index), part.tried,
+                        group.Reference(), search->policy()});
+  if (choice.state != ReplicaChoice::State::kChosen ||
+      !group.extra_attempts.TryTake(kRetryReserve)) {
+    return;
+  }
+  part.hedged = true;
+  StartOne(now, *search, run.part_index, AttemptKind::kHedge, *choice.target);
+}
+
+void SearchEngine::Probe(AttemptId id) {
+  auto found = attempts_.find(id);
+  if (found == attempts_.end() || found->second.probed ||
+      FindSearch(found->second.request) == nullptr) {
+    return;
+  }
+  found->second.probed = true;
+  actions_.emplace_back(ProbeAttempt{id, found->second.target});
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/search_poison.cpp
@@ -0,0 +1,185 @@
+#include "search_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Standing = PoisonTracker::Standing;
+
+// How long the other hosts refuse a suspected request while it is run here.
+constexpr Duration kTestWindow = milliseconds(500);
+
+}  // namespace
+
+// The canary was answered: the request does not break targets.
+void SearchEngine::TakeSurvival(Instant now, SearchRun& search) {
+  const Fingerprint fingerprint = search.fingerprint();
+  const bool was_suspected =
+      !poison_.EvidenceOf(now, fingerprint, config_.host).targets.empty();
+  search.lost_targets.clear();
+  poison_.OnSurvived(now, fingerprint, search.snapshot().id());
+  if (was_suspected) {
+    actions_.emplace_back(ShareEvidence{
+        poison_.EvidenceOf(now, fingerprint, config_.host), false});
+  }
+  ReleaseCanaryLine(now, fingerprint, true);
+}
+
+// A connection broke under a request. The part is run once more on its own, to
+// tell a target that died from a request that kills.
+void SearchEngine::TakeLoss(Instant now,
+                            SearchRun& search,
+                            const AttemptRun& run) {
+  search.lost_targets.push_back(run.target);
+  search.parts()[run.part_index].reason = MissingReason::kFailed;
+  if (search.policy().canary_rule() == Canary::kOff) {
+    TakeFailure(now, search, run, AttemptStatus::kLost);
+    return;
+  }
+  if (run.sole) {
+    CountBroken(now, &search, run);
+    return;
+  }
+  PartRun& part = search.parts()[run.part_index];
+  if (!part.running.empty() || part.status != PartStatus::kRunning) {
+    return;
+  }
+  for (PartRun& other : search.parts()) {
+    if (other.status == PartStatus::kWaiting) {
+      other.status = PartStatus::kHeld;
+    }
+  }
+  part.status = PartStatus::kHeld;
+  auto [slot, added] = canaries_.try_emplace(search.fingerprint());
+  if (!added && slot->second.leader != search.request().id) {
+    search.phase = SearchPhase::kCanaryQueued;
+    slot->second.followers.push_back(search.request().id);
+    return;
+  }
+  slot->second.leader = search.request().id;
+  if (search.phase == SearchPhase::kFanOut) {
+    StartCanary(now, search);
+  }
+}
+
+void SearchEngine::CountBroken(Instant now,
+                               SearchRun* search,
+                               const AttemptRun& run) {
+  GroupState& group = EnsureGroup(run.group);
+  const Duration quarantine = std::chrono::seconds(group.policy.quarantine_s);
+  std::size_t broken =
+      poison_.OnBroken(now, run.fingerprint, run.target, quarantine);
+  if (search != nullptr) {
+    for (const std::string& target : search->lost_targets) {
+      broken = poison_.OnBroken(now, run.fingerprint, target, quarantine);
+    }
+  }
+  PoisonEvidence evidence =
+      poison_.EvidenceOf(now, run.fingerprint, config_.host);
+  if (evidence.quarantine > Duration{}) {
+    actions_.emplace_back(ShareEvidence{std::move(evidence), false});
+    Condemn(now, run.fingerprint);
+    return;
+  }
+  const bool ask = search != nullptr && broken > 0;
+  if (ask) {
+    evidence.testing = kTestWindow;
+    search->phase = SearchPhase::kAskingPeers;
+    PartRun& part = search->parts()[run.part_index];
+    if (part.running.empty()) {
+      part.status = PartStatus::kHeld;
+    }
+  }
+  actions_.emplace_back(ShareEvidence{std::move(evidence), ask});
+}
+
+bool SearchEngine::OnEvidence(Instant now, const PoisonEvidence& evidence) {
+  const Duration quarantine =
+      std::chrono::seconds(settings_.defaults().quarantine_s);
+  const bool running = std::ranges::any_of(attempts_, [&](const auto& entry) {
+    return entry.second.fingerprint == evidence.fingerprint;
+  });
+  if (poison_.Merge(now, evidence, quarantine)) {
+    Condemn(now, evidence.fingerprint);
+    Pump(now);
+  }
+  return running;
+}
+
+void SearchEngine::OnEvidenceShared(Instant now,
+                                    Fingerprint fingerprint,
+                                    bool elsewhere) {
+  auto line = canaries_.find(fingerprint);
+  if (line == canaries_.end()) {
+    return;
+  }
+  SearchRun* search = FindSearch(line->second.leader);
+  if (search == nullptr || search->phase != SearchPhase::kAskingPeers) {
+    return;
+  }
+  if (!search->parts()[search->canary_part].running.empty()) {
+    // A hedge of the canary is still running and will tell.
+    search->phase = SearchPhase::kCanary;
+    return;
+  }
+  if (elsewhere) {
+    FinishWith(now, *search,
+               {ErrorKind::kBrokeTargets,
+                "a target broke under it, and another host is running it",
+                kFailedRetryAfter});
+  } else {
+    StartCanary(now, *search);
+  }
+  Pump(now);
+}
+
+// Ends every search with this fingerprint at once.
+void SearchEngine::Condemn(Instant now, Fingerprint fingerprint) {
+  canaries_.erase(fingerprint);
+  std::vector<RequestId> condemned;
+  for (const auto& [id, search] : searches_) {
+    if (search.fingerprint() == fingerprint) {
+      condemned.push_back(id);
+    }
+  }
+  std::ranges::sort(condemned);
+  for (RequestId id : condemned) {
+    SearchRun& search = searches_.at(id);
+    const ErrorKind kind =
+        search.Started() ? ErrorKind::kBrokeTargets : ErrorKind::kQuarantined;
+    FinishWith(now, search,
+               {kind, "targets broke while running it",
+                poison_.RefusedFor(now, fingerprint)});
+  }
+}
+
+// The canary has ended: its followers fan out if it survived, and the next of
+// them becomes the canary if it did not.
+void SearchEngine::ReleaseCanaryLine(Instant now,
+                                     Fingerprint fingerprint,
+                                     bool survived) {
+  auto found = canaries_.find(fingerprint);
+  if (found == canaries_.end()) {
+    return;
+  }
+  CanaryLine line = std::move(found->second);
+  canaries_.erase(found);
+  for (RequestId id : line.followers) {
+    SearchRun* search = FindSearch(id);
+    if (search == nullptr) {
+      continue;
+    }
+    if (survived) {
+      StartFanOut(now, *search);
+    } else {
+      search->phase = SearchPhase::kFanOut;
+      Begin(now, *search, Standing::kUnknown);
+    }
+  }
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/testsuite/mutations.py
@@ -0,0 +1,144 @@
+"""Shows that tests fail without the mechanism they are for: mutations.py BUILD [NAME...]
+
+Each mutation takes one mechanism out of a scratch copy of the sources, builds it
+there, and expects the named tests to fail. BUILD is a build folder whose
+dependencies are used.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+
+SOURCE = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+LIB = "src/libsnipeworks/"
+
+# name, file, text, replacement, tests that must fail
+MUTATIONS = [
+    ("coverage-from-manifest", LIB + "search_run.cpp",
+     "coverage.documents_total = snapshot_->manifest.documents();",
+     "coverage.documents_total = coverage.parts_answered;", "Search.APartThatNobodyHolds*"),
+    ("echoed-snapshot", LIB + "search_outcomes.cpp",
+     "const bool right = outcome.snapshot == search.snapshot().id() &&",
+     "const bool right = outcome.part == outcome.part &&", "Search.AnAnswerOfAnother*"),
+    ("replan", LIB + "search_flow.cpp",
+     "const bool possible = !search.replanned && snapshot &&",
+     "const bool possible = false && !search.replanned && snapshot &&",
+     "Search.WhenTheSnapshotIsDropped*"),
+    ("lease-age", LIB + "target_view.cpp", "const Instant heard_at = now - age;",
+     "const Instant heard_at = now - age * 0;", "Leases.*"),
+    ("old-sequence", LIB + "target_view.cpp", "if (!news.IsNewerThan(record.announcement)) {",
+     "if (false) {", "Leases.*:Views.*"),
+    ("draining-final", LIB + "target_view.cpp",
+     "if (same_incarnation && was_draining) {", "if (false && same_incarnation && was_draining) {",
+     "Draining.*"),
+    ("ejection-last", LIB + "replica_selector.cpp",
+     "std::vector<Candidate>& pool = healthy.empty() ? usable : healthy;",
+     "std::vector<Candidate>& pool = healthy;", "Replicas.EjectionNever*"),
+    ("rising-percentile", LIB + "group_state.cpp",
+     "const double percentile = base + (kLastPercentile - base) * spent;",
+     "const double percentile = base - 2 + 0 * spent;", "Hedges.CutTheTail*"),
+    ("extra-budget", LIB + "search_outcomes.cpp",
+     "if (replica_left && group.extra_attempts.TryTake()) {", "if (replica_left) {", "Extra.*"),
+    ("silent-probe", LIB + "search_outcomes.cpp",
+     "if (state == ProbeState::kUnknown) {", "if (false) {", "Connections.*"),
+    ("admission", LIB + "request_filters.cpp",
+     "if (wait + context.group->Reference() <= allowed) {", "if (true) {",
+     "Overload.ARefusal*"),
+    ("classes", LIB + "part_queue.cpp",
+     "queues_[key][static_cast<std::size_t>(request_class)].push_back(waiting);",
+     "queues_[key][request_class == RequestClass::kUrgent ? 0U : 0U].push_back(waiting);",
+     "Overload.Routine*"),
+    ("canary", LIB + "search_flow.cpp", "(suspected || (unknown && rule == Canary::kUnknown));",
+     "(suspected && unknown);", "Poison.Resent*"),
+    ("evidence-spread", LIB + "search_poison.cpp",
+     "if (poison_.Merge(now, evidence, quarantine)) {", "if (false) {", "Poison.Resent*"),
+    ("innocent", LIB + "poison_tracker.cpp", "constexpr std::size_t kTargetsToCondemn = 2;",
+     "constexpr std::size_t kTargetsToCondemn = 1;", "Poison.ATargetThatDies*"),
+    ("disk-rule", LIB + "consensus_node.cpp",
+     "return member != nullptr && member->voter && member->disk == disk;",
+     "return member != nullptr && member->voter;", "Consensus.*:*Seeds*"),
+    ("disk-rule-votes", LIB + "consensus_election.cpp",
+     "        !IsVoterWith(reply.from, reply.from_disk)) {", "        false) {",
+     "Consensus.*:*Seeds*"),
+    ("commit-own-term", LIB + "consensus_replication.cpp",
+     "if (agreed > commit_ && TermAt(agreed) == vote_.term) {", "if (agreed > commit_) {",
+     "*Seeds*"),
+    ("check-quorum", LIB + "consensus_election.cpp", "if (heard >= Quorum()) {", "if (true) {",
+     "Consensus.AFrozenLeader*"),
+    ("failed-write", LIB + "consensus_node.cpp", "if (!Persist(store_.Append(entries))) {",
+     "if (!store_.Append(entries)) {", "Consensus.AFailedWrite*"),
+    ("compacted-entries", LIB + "consensus_replication.cpp",
+     "const bool compacted = progress.next < first_index();",
+     "const bool compacted = false;", "*Seeds*"),
+    ("voter-unaware", LIB + "consensus_election.cpp",
+     "const bool eligible = !other_disk && !has_leader &&",
+     "const bool eligible = IsVoter() && !other_disk && !has_leader &&", "*Seeds*"),
+    ("current-after-restart", LIB + "consensus_election.cpp",
+     "return heard && TermAt(commit_) == vote_.term;", "return true;",
+     "Consensus.ARestarted*"),
+    ("claim-retention", LIB + "control_state.cpp",
+     "if (command.created_s <= time_s_ - kClaimRetentionS) {", "if (false) {", "Claims.ADropped*"),
+    ("claim-time-forward", LIB + "control_state.cpp",
+     "time_s_ = std::max(time_s_, command.time_s);", "time_s_ = command.time_s;",
+     "Claims.ADropped*"),
+    ("change-ids", LIB + "control_state.cpp", "if (first != changes_.end()) {", "if (false) {",
+     "Settings.AResend*"),
+    ("action-proof", LIB + "action_controller.cpp",
+     "const bool not_run = ProvesNotRun(outcome.status) &&",
+     "const bool not_run = outcome.status != AttemptStatus::kAnswered &&", "Actions.*"),
+    ("action-deadline", LIB + "action_controller.cpp",
+     "if (action.answered || now >= action.deadline) {", "if (false) {", "Actions.AFrozen*"),
+    ("posted-tasks", LIB + "event_loop.cpp", "    posted_.clear();\n", "", "EventLoops.GoAway*"),
+    ("silent-peer", LIB + "peer_transport.cpp",
+     "    if (link != links_.end() && link->second.connection != nullptr) {\n"
+     "      link->second.connection->Close();\n    }\n", "    (void)link;\n", "Peers.ASilent*"),
+]
+
+
+def run(*command):
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+def main():
+    build, chosen = os.path.abspath(sys.argv[1]), sys.argv[2:]
+    scratch = tempfile.mkdtemp(prefix="mutations-")
+    tree, out = os.path.join(scratch, "tree"), os.path.join(scratch, "build")
+    shutil.copytree(SOURCE, tree, ignore=shutil.ignore_patterns(".git"))
+    deps = next(line.split("=")[1] for line in open(
+        os.path.join(build, "CMakeCache.txt"), encoding="utf-8") if line.startswith("SNIPEWORKS_DEPS"))
+    run("cmake", "-S", tree, "-B", out, "-G", "Ninja", "-DCMAKE_BUILD_TYPE=Debug",
+        f"-DSNIPEWORKS_DEPS={deps.strip()}")
+    survivors = 0
+    for name, path, text, replacement, tests in MUTATIONS:
+        if chosen and name not in chosen:
+            continue
+        path = os.path.join(tree, path)
+        with open(path, encoding="utf-8") as file:
+            original = file.read()
+        if text not in original:
+            print(f"{name}: NOT APPLIED, the text has changed", flush=True)
+            survivors += 1
+            continue
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(original.replace(text, replacement, 1))
+        built = run("ninja", "-j", "6", "-C", out, "snipeworks_test")
+        if built.returncode != 0:
+            print(f"{name}: DOES NOT BUILD\n{built.stdout[-800:]}", flush=True)
+            survivors += 1
+        else:
+            tested = run("timeout", "120", os.path.join(out, "src/libsnipeworks/snipeworks_test"),
+                         "--gtest_brief=1", f"--gtest_filter={tests}")
+            failed = tested.returncode != 0
+            survivors += 0 if failed else 1
+            print(f"{name}: {'fails without it' if failed else 'STILL PASSES'} ({tests})", flush=True)
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(original)
+    shutil.rmtree(scratch)
+    print(f"{survivors} without a failing test")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
