--- a/src/include/snipeworks/policy.h
+++ b/src/include/snipeworks/policy.h
@@ -51,6 +51,7 @@
   std::int64_t max;
   std::span<const std::string_view> choices;  ///< Names of values from 0 up.
   std::string_view brief;
+  bool fleet_wide = false;  ///< True if no exception can change it.
 };
 
 /// Every field of GroupPolicy.
--- a/src/libsnipeworks/consensus_node_test.cpp
+++ b/src/libsnipeworks/consensus_node_test.cpp
@@ -416,6 +416,68 @@
   EXPECT_EQ(cluster.Leader()->node->term(), before);
 }
 
+// An entry of an earlier term that a majority holds can still be replaced; it
+// is committed by an entry of the leader's own term.
+TEST(Consensus, AnEntryOfAnEarlierTermIsNotCommittedByCount) {
+  FakeDisk disk("da");
+  disk.stored.cluster = "cluster";
+  disk.stored.vote = {2, "a"};
+  LogEntry members{1, 1, EntryKind::kMembers, "", {}};
+  members.members = {
+      {"a", "a", "da", true}, {"b", "b", "db", true}, {"c", "c", "dc", true}};
+  disk.stored.entries = {members, {2, 2, EntryKind::kCommand, "old", {}}};
+  ListState state;
+  Instant now{seconds(1000)};
+  ConsensusNode node({"a", "a", {}, 1}, disk, state, disk.stored, now);
+  const auto reply = [&](ConsensusKind kind, Term term, LogIndex index) {
+    ConsensusMessage message;
+    message.kind = kind;
+    message.cluster = "cluster";
+    message.from = "b";
+    message.from_disk = "db";
+    message.from_address = "b";
+    message.term = term;
+    message.index = index;
+    message.granted = true;
+    message.sent_us = now.time_since_epoch().count();
+    node.Receive(now, message);
+  };
+  now += seconds(2);
+  node.Tick(now);
+  reply(ConsensusKind::kPreVoteReply, 3, 0);
+  reply(ConsensusKind::kVoteReply, 3, 0);
+  ASSERT_EQ(node.role(), ConsensusRole::kLeader);
+  reply(ConsensusKind::kAppendReply, 3, 2);
+  EXPECT_EQ(node.commit_index(), 0U);
+  reply(ConsensusKind::kAppendReply, 3, 3);
+  EXPECT_EQ(node.commit_index(), 3U);
+}
+
+// The entry that gives it its vote may be only with the candidate.
+TEST(Consensus, AHostVotesBeforeItKnowsThatItIsAVoter) {
+  FakeDisk disk("db");
+  disk.stored.cluster = "cluster";
+  LogEntry members{1, 1, EntryKind::kMembers, "", {}};
+  members.members = {{"a", "a", "da", true}, {"b", "b", "", false}};
+  disk.stored.entries = {members};
+  ListState state;
+  const Instant now{seconds(1000)};
+  ConsensusNode node({"b", "b", {}, 1}, disk, state, disk.stored, now);
+  ConsensusMessage request;
+  request.kind = ConsensusKind::kVote;
+  request.cluster = "cluster";
+  request.from = "a";
+  request.from_disk = "da";
+  request.from_address = "a";
+  request.term = 2;
+  request.index = 2;
+  request.index_term = 1;
+  node.Receive(now, request);
+  const auto replies = node.TakeMessages();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_TRUE(replies[0].message.granted);
+}
+
 TEST(Consensus, AHostCanBeAddedAndRemoved) {
   FakeCluster cluster(9, 3);
   ASSERT_TRUE(cluster.Leader()->node->AddMember(cluster.now, "c3", "c3"));
--- a/src/libsnipeworks/fleet_settings.cpp
+++ b/src/libsnipeworks/fleet_settings.cpp
@@ -98,6 +98,12 @@
   if (!overrides) {
     return tl::unexpected(overrides.error());
   }
+  for (const PolicyOverride& item : *overrides) {
+    if (FindPolicyField(item.field)->fleet_wide) {
+      return FaultAt(text, from, item.field,
+                     "holds for the whole fleet, set it in defaults");
+    }
+  }
   result.overrides = std::move(*overrides);
   return result;
 }
--- a/src/libsnipeworks/parsers_test.cpp
+++ b/src/libsnipeworks/parsers_test.cpp
@@ -125,6 +125,9 @@
   EXPECT_EQ(fault("{\n // why\n \"exceptions\": [{\"group\": \"g\"}]}"),
             "line 3: exceptions: exceptions.reason: must be a string");
   EXPECT_EQ(fault("{\n\n x"), "line 3: not valid JSON");
+  EXPECT_EQ(fault(R"({"exceptions":[{"group":"g","set":{"lease_ms":500},
+                      "reason":"r"}]})"),
+            "line 1: lease_ms: holds for the whole fleet, set it in defaults");
 }
 
 TEST(FleetSettingsText, AnExceptionChangesItsGroupOnly) {
--- a/src/libsnipeworks/policy.cpp
+++ b/src/libsnipeworks/policy.cpp
@@ -42,7 +42,7 @@
     PolicyField{"eject_ms", &GroupPolicy::eject_ms, 10, 600000, Names(),
                 "first pause of a failing target; doubles each time"},
     PolicyField{"lease_ms", &GroupPolicy::lease_ms, 100, 600000, Names(),
-                "silence after which a target gets no new work"},
+                "silence after which a target gets no new work", true},
 };
 
 }  // namespace
--- a/src/snipectl/main.cpp
+++ b/src/snipectl/main.cpp
@@ -299,13 +299,13 @@
                   << defaults.*(field.member);
       } else {
         for (std::string_view choice : field.choices) {
-          std::cout << choice << " ";
+          std::cout << choice << ", ";
         }
-        std::cout << ", default "
+        std::cout << "default "
                   << field.choices[static_cast<std::size_t>(defaults.*
                                                             (field.member))];
       }
-      std::cout << "\n";
+      std::cout << (field.fleet_wide ? "; no exceptions" : "") << "\n";
     }
     return kExitOk;
   }
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -64,9 +64,14 @@
     check(time.monotonic() - started < 1.0, "at once")
     slow.close()
 
+    docs = os.path.join(os.path.dirname(fleet_module.__file__), "..", "docs")
+    with open(os.path.join(docs, "settings.md"), encoding="utf-8") as file:
+        reference = file.read()
+    for line in fleet.ctl("settings", "reference").stdout.splitlines():
+        check(line in reference, f"docs/settings.md lacks: {line}")
+
     _, _, page = http("GET", address, "/metrics")
-    documented = os.path.join(os.path.dirname(fleet_module.__file__), "..", "docs", "metrics.md")
-    with open(documented, encoding="utf-8") as file:
+    with open(os.path.join(docs, "metrics.md"), encoding="utf-8") as file:
         text = file.read()
     names = {line.split()[2] for line in page.decode().splitlines() if line.startswith("# TYPE")}
     missing = sorted(name for name in names if f"`{name}`" not in text)
