Keep the view's digest up to date instead of taking it each time

Ruled out: a digest of sequences too (would differ always). Change: each record keeps its digest, taken anew only when more than sequence and load changed; renewals go out in one batch a second.

--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -48,7 +48,7 @@
 
   /// A digest of all that is known but sequences and load: hosts with equal
   /// digests know the same targets.
-  std::uint64_t Digest() const;
+  std::uint64_t Digest() const { return digest_; }
 
   /// Forgets targets silent for much longer than a lease.
   void Prune(Instant now);
@@ -59,11 +59,16 @@
   struct Record {
     Announcement announcement;
     Instant heard_at;
+    std::uint64_t digest = 0;
   };
 
   bool IsUsable(Instant now, const Record& record) const;
 
+  void Replace(Record& record, const Announcement& news, Instant heard_at);
+
   Duration lease_;
+  /// The digests of all records combined, kept up with each change.
+  std::uint64_t digest_ = 0;
   std::map<std::string, Record, std::less<>> records_;
 };
 
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -1,5 +1,7 @@
 #include "snipeworks/target_view.h"
 
+#include <tuple>
+
 #include <xxhash.h>
 
 namespace snipeworks {
@@ -10,27 +12,56 @@
 // an old announcement is still recognised as old.
 constexpr int kLeasesRemembered = 20;
 
+// All of an announcement but its sequence and load, for comparing.
+auto WithoutRenewal(const Announcement& one) {
+  return std::tie(one.incarnation, one.zone, one.address, one.group, one.state,
+                  one.slots, one.connections, one.snapshots);
+}
+
+std::uint64_t DigestOf(const Announcement& one) {
+  Announcement stable = one;
+  stable.sequence = 0;
+  stable.queued = 0;
+  const std::string text = ToJson(stable);
+  return XXH3_64bits(text.data(), text.size());
+}
+
 }  // namespace
 
 bool TargetView::Merge(Instant now, const Announcement& news, Duration age) {
   const Instant heard_at = now - age;
-  auto [slot, added] =
-      records_.try_emplace(news.target, Record{news, heard_at});
-  if (added) {
+  auto found = records_.find(news.target);
+  if (found == records_.end()) {
+    Replace(records_[news.target], news, heard_at);
     return true;
   }
-  Record& record = slot->second;
-  if (!news.IsNewerThan(record.announcement)) {
+  if (!news.IsNewerThan(found->second.announcement)) {
     return false;
   }
-  const bool same_incarnation =
-      news.incarnation == record.announcement.incarnation;
-  const bool was_draining = record.announcement.state == TargetState::kDraining;
-  record = Record{news, heard_at};
-  if (same_incarnation && was_draining) {
+  Replace(found->second, news, heard_at);
+  return true;
+}
+
+// Most news are renewals, which leave the digest as it is: taking the digest of
+// a whole manifest each time would cost more than all the rest.
+void TargetView::Replace(Record& record,
+                         const Announcement& news,
+                         Instant heard_at) {
+  const Announcement& before = record.announcement;
+  const bool drained_before = news.incarnation == before.incarnation &&
+                              before.state == TargetState::kDraining;
+  const bool renewal =
+      record.digest != 0 && WithoutRenewal(before) == WithoutRenewal(news);
+  record.announcement = news;
+  record.heard_at = heard_at;
+  if (drained_before) {
     record.announcement.state = TargetState::kDraining;
   }
-  return true;
+  if (!renewal) {
+    digest_ ^= record.digest;
+    record.digest = DigestOf(record.announcement);
+    digest_ ^= record.digest;
+  }
 }
 
 bool TargetView::IsUsable(Instant now, const Record& record) const {
@@ -90,21 +121,14 @@
   return now - found->second.heard_at;
 }
 
-std::uint64_t TargetView::Digest() const {
-  std::uint64_t digest = 0;
-  for (const auto& [name, record] : records_) {
-    Announcement stable = record.announcement;
-    stable.sequence = 0;
-    stable.queued = 0;
-    const std::string text = ToJson(stable);
-    digest ^= XXH3_64bits(text.data(), text.size());
-  }
-  return digest;
-}
-
 void TargetView::Prune(Instant now) {
   std::erase_if(records_, [&](const auto& entry) {
-    return now - entry.second.heard_at > lease_ * kLeasesRemembered;
+    const bool forgotten =
+        now - entry.second.heard_at > lease_ * kLeasesRemembered;
+    if (forgotten) {
+      digest_ ^= entry.second.digest;
+    }
+    return forgotten;
   });
 }
 
--- a/src/snipe-entry/entry_peers.cpp
+++ b/src/snipe-entry/entry_peers.cpp
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kRenewalInterval = milliseconds(250);
+constexpr Duration kRenewalInterval = milliseconds(1000);
 constexpr Duration kControlInterval = milliseconds(500);
 constexpr Duration kCallTimeout = milliseconds(1000);
 // Bounds the wait before a suspected request runs once more.
@@ -143,9 +143,9 @@
   }
   const std::string address = sender->address.ToString();
   const bool differs = batch->view_digest != controller_.view().Digest();
-  // One in four differing batches is followed up, about once a second: a
-  // change that is on its way needs no second copy.
-  if (missing || (differs && random_.Below(4) == 0)) {
+  // Not every differing batch is followed up: a change that is on its way needs
+  // no second copy.
+  if (missing || (differs && random_.Below(2) == 0)) {
     FetchView(address);
   }
   if (batch->settings_version > keeper_.version()) {
