Run the canary of a new request on a part that answers fast

Cause: with one part 50x slow, new queries whose canary was sent to that part had nothing to answer with at the soft deadline: p99 923 ms for a group that is to answer within 65 ms. Ruled out: an empty answer at the soft deadline (covers nothing); a second canary at once (two targets at risk for each new query). Change: of up to 8 parts from a random one on, the one with the best expected latency runs first.

--- a/src/include/snipeworks/replica_selector.h
+++ b/src/include/snipeworks/replica_selector.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
   /// used only when no other is left, so ejection never removes coverage.
   ReplicaChoice Choose(const ReplicaQuery& query);
 
+  /// The score of the replica that Choose would take by load; nothing if none
+  /// has room now. Smaller is better.
+  std::optional<double> BestScore(const ReplicaQuery& query);
+
   /// Replicas that could be chosen now or later, ejected ones included.
   std::size_t CountUsable(const ReplicaQuery& query) const;
 
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -66,6 +66,19 @@
       }));
 }
 
+std::optional<double> ReplicaSelector::BestScore(const ReplicaQuery& query) {
+  std::optional<double> best;
+  for (const Candidate& one : Candidates(query)) {
+    if (one.stats->IsEjected(query.now) || !one.stats->HasRoom(query.now)) {
+      continue;
+    }
+    const double score =
+        one.stats->Score(query.now, query.reference, query.policy);
+    best = std::min(score, best.value_or(score));
+  }
+  return best;
+}
+
 ReplicaSelector::Candidate ReplicaSelector::Best(
     const ReplicaQuery& query,
     std::vector<Candidate>& candidates) {
--- a/src/libsnipeworks/search_controller_test.cpp
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -178,6 +178,25 @@
   EXPECT_EQ(fake.ResultOf(id)->coverage.parts_answered, 2U);
 }
 
+TEST(Deadlines, OneSlowPartDoesNotHoldUpRequestsThatAreNew) {
+  FakeTargets fake;
+  fake.controller.ApplySettings(SettingsOf(
+      R"({"defaults":{"answer":"soft-deadline","soft_deadline_ms":65}})"));
+  fake.slots = 20;
+  fake.AddTargets(8, 2);
+  fake.behaviour = [](const AttemptCommand& command) {
+    return FakeReply{milliseconds(command.part == 1 ? 400 : 10)};
+  };
+  WarmUp(fake);
+  for (int i = 0; i < 50; ++i) {
+    const RequestId id = fake.Search("new " + std::to_string(i));
+    fake.Run(milliseconds(70));
+    ASSERT_TRUE(fake.Finished(id)) << i;
+    EXPECT_LE(fake.LatencyOf(id), milliseconds(66));
+    EXPECT_EQ(fake.ResultOf(id)->coverage.parts_answered, 7U);
+  }
+}
+
 TEST(Replicas, OneLostReplicaOfEachPartCostsNoCoverage) {
   FakeTargets fake;
   fake.AddTargets(5, 2);
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -12,6 +12,8 @@
 
 // The answer leaves this long before the caller's deadline.
 constexpr Duration kAnswerMargin = milliseconds(2);
+// Parts that are compared before one is run alone.
+constexpr std::size_t kCanaryChoices = 8;
 
 }  // namespace
 
@@ -65,30 +67,43 @@
   StartCanary(now, search);
 }
 
-// Runs the held part with the most replicas, from a random one on.
+// Runs one held part alone: of a few parts from a random one on, the one whose
+// replicas answer fastest, since the whole search waits for it.
 void SearchEngine::StartCanary(Instant now, SearchRun& search) {
   search.phase = SearchPhase::kCanary;
+  const Duration reference = EnsureGroup(search.request().group).Reference();
   const std::size_t count = search.parts().size();
   const std::size_t offset = random_.Below(count);
+  std::optional<std::size_t> any;
   std::optional<std::size_t> best;
-  std::size_t most = 0;
-  for (std::size_t i = 0; i < count; ++i) {
+  std::optional<double> best_score;
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < count && compared < kCanaryChoices; ++i) {
     const std::size_t index = (i + offset) % count;
     const PartRun& part = search.parts()[index];
-    const std::size_t replicas = selector_.CountUsable(
-        {now, search.ReplicasOf(index), part.tried, {}, search.policy()});
-    if (part.status == PartStatus::kHeld && replicas > most) {
-      most = replicas;
+    const ReplicaQuery query{now, search.ReplicasOf(index), part.tried,
+                             reference, search.policy()};
+    if (part.status != PartStatus::kHeld || selector_.CountUsable(query) == 0) {
+      continue;
+    }
+    any = any.value_or(index);
+    const std::optional<double> score = selector_.BestScore(query);
+    if (!score) {
+      continue;
+    }
+    ++compared;
+    if (!best_score || *score < *best_score) {
       best = index;
+      best_score = score;
     }
   }
-  if (!best) {
+  if (!any) {
     ReleaseCanaryLine(now, search.fingerprint(), false);
     StartFanOut(now, search);
     return;
   }
-  search.canary_part = *best;
-  Enqueue(search, *best, AttemptKind::kPrimary);
+  search.canary_part = best.value_or(*any);
+  Enqueue(search, search.canary_part, AttemptKind::kPrimary);
 }
 
 void SearchEngine::StartFanOut(Instant now, SearchRun& search) {
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -56,6 +56,8 @@
      "(suspected && unknown);", "Poison.Resent*"),
     ("evidence-spread", LIB + "search_poison.cpp",
      "if (poison_.Merge(now, evidence, quarantine)) {", "if (false) {", "Poison.Resent*"),
+    ("canary-part", LIB + "search_flow.cpp", "if (!best_score || *score < *best_score) {",
+     "if (!best_score) {", "Deadlines.OneSlowPart*"),
     ("innocent", LIB + "poison_tracker.cpp", "constexpr std::size_t kTargetsToCondemn = 2;",
      "constexpr std::size_t kTargetsToCondemn = 1;", "Poison.ATargetThatDies*"),
     ("disk-rule", LIB + "consensus_node.cpp",
