Shorten the stand-in's functions; name the bit of action attempts once

Cause: reading as a newcomer: functions that need scrolling, a constant that stood in two files, an error kind that nothing used. Change: snipe-target's main and StandIn::Run split; kActionBit in attempt.h; kShuttingDown removed (a host that is leaving still answers).

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -16,6 +16,15 @@
 /// is joined with the host's own random prefix.
 using AttemptId = std::uint64_t;
 
+/// Attempts of requests that are not repeatable have this bit, so that one
+/// gateway can serve them and searches.
+inline constexpr AttemptId kActionBit = AttemptId{1} << 62;
+
+/// True for an attempt of a request that is not repeatable.
+inline bool IsActionAttempt(AttemptId attempt) {
+  return (attempt & kActionBit) != 0;
+}
+
 /// Identifies one caller's request within a run of an entry host.
 using RequestId = std::uint64_t;
 
--- a/src/include/snipeworks/error.h
+++ b/src/include/snipeworks/error.h
@@ -19,7 +19,6 @@
   kTooLarge,
   kUnknownGroup,
   kNotReady,
-  kShuttingDown,
   kOverloaded,
   kQuarantined,
   kNoTarget,
--- a/src/libsnipeworks/action_controller.cpp
+++ b/src/libsnipeworks/action_controller.cpp
@@ -14,8 +14,6 @@
 
 constexpr Duration kRetryAfter = milliseconds(1000);
 constexpr std::size_t kMinTokenLength = 8;
-// Attempts of actions are told from those of searches by this bit.
-constexpr AttemptId kActionBit = AttemptId{1} << 62;
 
 // What a target answered, as the caller gets it and as it is kept.
 std::string BodyOf(const AttemptOutcome& outcome) {
--- a/src/libsnipeworks/error.cpp
+++ b/src/libsnipeworks/error.cpp
@@ -15,8 +15,6 @@
              "No target has announced this service group"},
     ErrorRow{ErrorKind::kNotReady, "not-ready", 503, Ran::kNo, true,
              "This entry host is still starting"},
-    ErrorRow{ErrorKind::kShuttingDown, "shutting-down", 503, Ran::kNo, true,
-             "This entry host is shutting down"},
     ErrorRow{ErrorKind::kOverloaded, "overloaded", 503, Ran::kNo, true,
              "The request could not finish in its deadline"},
     ErrorRow{ErrorKind::kQuarantined, "quarantined", 503, Ran::kNo, true,
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -16,8 +16,6 @@
 constexpr Duration kRecordPatience = std::chrono::seconds(30);
 // The claim must leave time to run the request.
 constexpr std::int64_t kClaimShareDivisor = 2;
-// Attempts of actions have this bit.
-constexpr AttemptId kActionBit = AttemptId{1} << 62;
 
 std::uint64_t WallMilliseconds() {
   return static_cast<std::uint64_t>(
@@ -58,7 +56,7 @@
           random_,
           [this](AttemptId attempt, const AttemptOutcome& outcome) {
             metrics_.OnOutcome(outcome.status);
-            if ((attempt & kActionBit) != 0) {
+            if (IsActionAttempt(attempt)) {
               actions_.OnOutcome(MonotonicNow(), attempt, outcome);
             } else {
               searches_.OnOutcome(MonotonicNow(), attempt, outcome);
--- a/src/snipe-target/main.cpp
+++ b/src/snipe-target/main.cpp
@@ -1,5 +1,6 @@
 // snipe-target: stands in for the back ends of a fleet, or for some of them.
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -58,22 +59,107 @@
          std::ranges::find(only, plan.announcement.target) != only.end();
 }
 
-int Main(int argc, char** argv) {
+using StandIns = std::vector<std::unique_ptr<StandIn>>;
+
+// Announces every target once an interval, spread over it as targets of a real
+// fleet are.
+void AnnounceForEver(EventLoop& loop, Announcer& announcer, StandIns& targets) {
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    StandIn* target = targets[i].get();
+    const Duration offset = kAnnounceInterval * static_cast<std::int64_t>(i) /
+                            static_cast<std::int64_t>(targets.size());
+    announcer.Post(*target);
+    loop.After(offset, [&loop, &announcer, target] {
+      loop.Every(kAnnounceInterval,
+                 [&announcer, target] { announcer.Post(*target); });
+    });
+  }
+}
+
+// Takes no new work, tells so, and stops the loop when all work is done.
+void Drain(EventLoop& loop, Announcer& announcer, StandIns& targets) {
+  LOG(INFO) << "event=draining";
+  for (auto& target : targets) {
+    target->Drain();
+    announcer.Post(*target);
+  }
+  loop.After(kDrainHold, [&loop, &targets] {
+    loop.Every(kDrainCheck, [&loop, &targets] {
+      if (std::ranges::all_of(targets,
+                              [](auto& target) { return target->Idle(); })) {
+        loop.Stop();
+      }
+    });
+  });
+}
+
+int Serve(StandIns& targets, const std::vector<std::string>& entries) {
+  LOG(INFO) << "event=started targets=" << targets.size();
+  EventLoop loop;
+  Announcer announcer(loop, entries);
+  AnnounceForEver(loop, announcer, targets);
+  bool draining = false;
+  const auto drain = [&] {
+    if (!std::exchange(draining, true)) {
+      Drain(loop, announcer, targets);
+    }
+  };
+  loop.OnSignal(SIGTERM, drain);
+  loop.OnSignal(SIGINT, drain);
+  loop.Run();
+  targets.clear();
+  LOG(INFO) << "event=stopped";
+  return kExitOk;
+}
+
+cxxopts::Options TargetOptions() {
   cxxopts::Options options =
       ProgramOptions("snipe-target", "Stands in for the targets of a fleet.");
+  const auto text = cxxopts::value<std::string>()->default_value("");
+  const auto list =
+      cxxopts::value<std::vector<std::string>>()->default_value("");
   options.add_options()("fleet", "Fleet file", cxxopts::value<std::string>())(
-      "zone", "Only the targets of this availability zone",
-      cxxopts::value<std::string>()->default_value(""))(
-      "only", "Only the targets of these names",
-      cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "entries", "Addresses that take announcements",
-      cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "history", "File for what was run",
-      cxxopts::value<std::string>()->default_value(""))(
-      "traces", "File for spans",
-      cxxopts::value<std::string>()->default_value(""))(
-      "check", "Check the fleet file and exit")(
+      "zone", "Only the targets of this availability zone", text)(
+      "only", "Only the targets of these names", list)(
+      "entries", "Addresses that take announcements", list)(
+      "history", "File for what was run", text)(
+      "traces", "File for spans", text)("check",
+                                        "Check the fleet file and exit")(
       "list", "Print name, zone and address of each target and exit");
+  return options;
+}
+
+std::vector<std::string> ListOption(const cxxopts::ParseResult& options,
+                                    const char* name) {
+  auto values = options[name].as<std::vector<std::string>>();
+  std::erase(values, "");
+  return values;
+}
+
+std::vector<TargetPlan> SelectedTargets(const FleetPlan& plan,
+                                        const cxxopts::ParseResult& options) {
+  const auto zone = options["zone"].as<std::string>();
+  const auto only = ListOption(options, "only");
+  std::vector<TargetPlan> selected;
+  for (const TargetPlan& target : plan.targets()) {
+    if (Selected(target, zone, only)) {
+      selected.push_back(target);
+    }
+  }
+  return selected;
+}
+
+// A restart in the same millisecond cannot happen, so the time tells the
+// incarnations of a target apart.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options = TargetOptions();
   ParsedOptions parsed = ReadOptions(options, argc, argv);
   if (parsed.exit) {
     return parsed.exit_code;
@@ -91,28 +177,19 @@
     std::cout << path << ": " << plan->targets().size() << " targets\n";
     return kExitOk;
   }
-  const auto zone = parsed.result["zone"].as<std::string>();
-  auto only = parsed.result["only"].as<std::vector<std::string>>();
-  std::erase(only, "");
-  auto entries = parsed.result["entries"].as<std::vector<std::string>>();
-  std::erase(entries, "");
-
-  HistoryWriter history(parsed.result["history"].as<std::string>());
-  SpanWriter spans(parsed.result["traces"].as<std::string>(), "snipe-target");
-  const auto incarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-  std::vector<std::unique_ptr<StandIn>> targets;
-  for (const TargetPlan& target : plan->targets()) {
-    if (!Selected(target, zone, only)) {
-      continue;
-    }
-    if (parsed.result.count("list") > 0) {
+  const auto selected = SelectedTargets(*plan, parsed.result);
+  if (parsed.result.count("list") > 0) {
+    for (const TargetPlan& target : selected) {
       std::cout << target.announcement.target << " " << target.announcement.zone
                 << " " << target.announcement.address << "\n";
-      continue;
     }
+    return kExitOk;
+  }
+  HistoryWriter history(parsed.result["history"].as<std::string>());
+  SpanWriter spans(parsed.result["traces"].as<std::string>(), "snipe-target");
+  const std::uint64_t incarnation = NewIncarnation();
+  StandIns targets;
+  for (const TargetPlan& target : selected) {
     auto started = StandIn::Start(target, incarnation, history, spans);
     if (!started) {
       LOG(ERROR) << "event=start_failed reason=\"" << started.error().detail
@@ -121,53 +198,7 @@
     }
     targets.push_back(std::move(*started));
   }
-  if (parsed.result.count("list") > 0) {
-    return kExitOk;
-  }
-  LOG(INFO) << "event=started targets=" << targets.size();
-
-  EventLoop loop;
-  Announcer announcer(loop, entries);
-  const auto announce_all = [&] {
-    for (auto& target : targets) {
-      announcer.Post(*target);
-    }
-  };
-  // Spread over the interval, as targets of a real fleet are.
-  for (std::size_t i = 0; i < targets.size(); ++i) {
-    const Duration offset = kAnnounceInterval * static_cast<std::int64_t>(i) /
-                            static_cast<std::int64_t>(targets.size());
-    announcer.Post(*targets[i]);
-    loop.After(offset, [&loop, &announcer, target = targets[i].get()] {
-      loop.Every(kAnnounceInterval,
-                 [&announcer, target] { announcer.Post(*target); });
-    });
-  }
-  bool draining = false;
-  const auto drain = [&] {
-    if (std::exchange(draining, true)) {
-      return;
-    }
-    LOG(INFO) << "event=draining";
-    for (auto& target : targets) {
-      target->Drain();
-    }
-    announce_all();
-    loop.After(kDrainHold, [&] {
-      loop.Every(kDrainCheck, [&] {
-        if (std::ranges::all_of(targets,
-                                [](auto& target) { return target->Idle(); })) {
-          loop.Stop();
-        }
-      });
-    });
-  };
-  loop.OnSignal(SIGTERM, drain);
-  loop.OnSignal(SIGINT, drain);
-  loop.Run();
-  targets.clear();
-  LOG(INFO) << "event=stopped";
-  return kExitOk;
+  return Serve(targets, ListOption(parsed.result, "entries"));
 }
 
 }  // namespace
--- a/src/snipe-target/stand_in.cpp
+++ b/src/snipe-target/stand_in.cpp
@@ -316,21 +316,10 @@
   --running_;
   attempts_.erase(request.attempt);
   Remember(request.attempt);
-  outcome.status =
-      cancelled ? AttemptStatus::kCancelled : AttemptStatus::kAnswered;
-  if (!cancelled) {
-    outcome.snapshot = request.snapshot;
-    outcome.part = request.part;
-    outcome.hits = HitsFor(request);
-    // A part's documents may be asked for after its snapshot was dropped.
-    const HeldSnapshot* held = Find(request);
-    if (held != nullptr) {
-      for (const ManifestPart& part : held->manifest.parts) {
-        outcome.documents += part.part == request.part ? part.documents : 0;
-      }
-    } else {
-      outcome.status = AttemptStatus::kWrongSnapshot;
-    }
+  if (cancelled) {
+    outcome.status = AttemptStatus::kCancelled;
+  } else {
+    Answer(request, outcome);
   }
   event["event"] = "end";
   event["status"] = ToString(outcome.status);
@@ -341,6 +330,22 @@
   return outcome;
 }
 
+// A snapshot can have been dropped while its request ran.
+void StandIn::Answer(const RunRequest& request, AttemptOutcome& outcome) const {
+  const HeldSnapshot* held = Find(request);
+  if (held == nullptr) {
+    outcome.status = AttemptStatus::kWrongSnapshot;
+    return;
+  }
+  outcome.status = AttemptStatus::kAnswered;
+  outcome.snapshot = request.snapshot;
+  outcome.part = request.part;
+  outcome.hits = HitsFor(request);
+  for (const ManifestPart& part : held->manifest.parts) {
+    outcome.documents += part.part == request.part ? part.documents : 0;
+  }
+}
+
 void StandIn::Remember(const std::string& attempt) {
   if (ended_.emplace(attempt, true).second) {
     ended_order_.push_back(attempt);
--- a/src/snipe-target/stand_in.h
+++ b/src/snipe-target/stand_in.h
@@ -63,6 +63,7 @@
   HttpResponse HandleKnobs(const HttpRequest& request);
 
   AttemptOutcome Run(const RunRequest& request, const std::string& trace);
+  void Answer(const RunRequest& request, AttemptOutcome& outcome) const;
   bool Refuses(const RunRequest& request, AttemptOutcome& refusal);
   bool WaitForSlot(const RunRequest& request,
                    Instant deadline,
