Renew a lease only where both hosts know the same of the target

Cause: found by reading: a renewal carries no state. A host that had missed that a target is draining, and took a renewal with a later sequence, would then have taken the news of the draining itself for old, and gone on sending work. Ruled out: passing renewals in full (over the 7 kB/s). Change: a renewal carries a 32-bit digest of what its sender knows; where it differs the receiver fetches the view. Test and mutation for it.

--- a/src/include/snipeworks/entry_messages.h
+++ b/src/include/snipeworks/entry_messages.h
@@ -77,12 +77,14 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   std::uint32_t queued = 0;
+  std::uint32_t digest = 0;  ///< As TargetView::DigestOf gives it.
   std::int64_t age_us = 0;
 };
 
 template <SameStruct<Renewal> S>
 auto WireFields(S& v) {
-  return std::tie(v.target, v.incarnation, v.sequence, v.queued, v.age_us);
+  return std::tie(v.target, v.incarnation, v.sequence, v.queued, v.digest,
+                  v.age_us);
 }
 
 /// Renewals that one host took since its last batch. `view_digest` tells
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -27,6 +27,23 @@
   /// true if it was news, to be spread further.
   bool Merge(Instant now, const Announcement& news, Duration age = {});
 
+  /// A later sequence of an announcement that is known here otherwise.
+  struct RenewalNews {
+    std::string_view target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t digest = 0;  ///< Of what the teller knows, see DigestOf.
+  };
+
+  /// What `news` makes of the announcement known here, if both sides know the
+  /// same; nothing if the teller knows another state, address or set of parts.
+  std::optional<Announcement> Renewed(const RenewalNews& news) const;
+
+  /// A digest of what is known of `target`, sequence and load left out; 0 if
+  /// it is not known.
+  std::uint32_t DigestOf(std::string_view target) const;
+
   /// The announcement of `target` if it may get new work at `now`.
   const Announcement* Usable(Instant now, std::string_view target) const;
 
--- a/src/libsnipeworks/parsers_test.cpp
+++ b/src/libsnipeworks/parsers_test.cpp
@@ -90,7 +90,7 @@
   AnnouncementBatch batch{"h", {{Sample(), 5}}};
   (void)Decode<AnnouncementBatch>(Damaged(Encode(batch)));
   (void)Decode<RenewalBatch>(
-      Damaged(Encode(RenewalBatch{"h", 1, 2, {{"t", 1, 2, 3, 4}}})));
+      Damaged(Encode(RenewalBatch{"h", 1, 2, {{"t", 1, 2, 3, 4, 5}}})));
   ConsensusMessage message;
   message.entries = {{1, 1, EntryKind::kCommand, "c", {}}};
   (void)Decode<ConsensusMessage>(Damaged(Encode(message)));
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -18,7 +18,7 @@
                   one.slots, one.connections, one.snapshots);
 }
 
-std::uint64_t DigestOf(const Announcement& one) {
+std::uint64_t StableDigest(const Announcement& one) {
   Announcement stable = one;
   stable.sequence = 0;
   stable.queued = 0;
@@ -59,11 +59,32 @@
   }
   if (!renewal) {
     digest_ ^= record.digest;
-    record.digest = DigestOf(record.announcement);
+    record.digest = StableDigest(record.announcement);
     digest_ ^= record.digest;
   }
 }
 
+std::uint32_t TargetView::DigestOf(std::string_view target) const {
+  auto found = records_.find(target);
+  return found == records_.end()
+             ? 0
+             : static_cast<std::uint32_t>(found->second.digest);
+}
+
+// A renewal says nothing of the state. Taken by a host that has missed that a
+// target is draining, its later sequence would make the news itself look old.
+std::optional<Announcement> TargetView::Renewed(const RenewalNews& news) const {
+  const Announcement* known = Find(news.target);
+  if (known == nullptr || known->incarnation != news.incarnation ||
+      DigestOf(news.target) != news.digest) {
+    return std::nullopt;
+  }
+  Announcement renewed = *known;
+  renewed.sequence = news.sequence;
+  renewed.queued = news.queued;
+  return renewed;
+}
+
 bool TargetView::IsUsable(Instant now, const Record& record) const {
   const bool serving = record.announcement.state == TargetState::kServing;
   return serving && now - record.heard_at <= lease_;
--- a/src/libsnipeworks/target_view_test.cpp
+++ b/src/libsnipeworks/target_view_test.cpp
@@ -60,6 +60,26 @@
   EXPECT_NE(view.Usable(kStart, "t"), nullptr);
 }
 
+TEST(Draining, ARenewalDoesNotHideItFromAHostThatMissedIt) {
+  TargetView told(kLease);
+  told.Merge(kStart, One(1, 5));
+  TargetView missed = told;
+  told.Merge(kStart, One(1, 6, TargetState::kDraining));
+  told.Merge(kStart, One(1, 7, TargetState::kDraining));
+  EXPECT_FALSE(missed.Renewed({"t", 1, 7, 0, told.DigestOf("t")}));
+  missed.Merge(kStart, *told.Find("t"));
+  EXPECT_EQ(missed.Usable(kStart, "t"), nullptr);
+}
+
+TEST(Leases, ARenewalOfWhatIsKnownCarriesOn) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 5));
+  const auto renewed = view.Renewed({"t", 1, 6, 3, view.DigestOf("t")});
+  ASSERT_TRUE(renewed);
+  EXPECT_EQ(renewed->sequence, 6U);
+  EXPECT_FALSE(view.Renewed({"t", 2, 1, 3, view.DigestOf("t")}));
+}
+
 // Hosts that hear the same announcements in any order and number agree.
 RC_GTEST_PROP(Views, DoNotDependOnOrderOrRepetition, ()) {
   std::vector<Announcement> heard;
--- a/src/snipe-bench/bench.cpp
+++ b/src/snipe-bench/bench.cpp
@@ -88,7 +88,8 @@
     Announcement one = *controller.view().Find(name);
     one.sequence = 2;
     controller.Announce(now, one);
-    renewals.push_back({one.target, one.incarnation, 2, 0, 100000});
+    renewals.push_back({one.target, one.incarnation, 2, 0,
+                        controller.view().DigestOf(one.target), 100000});
   }
   const double renewal_cpu = CpuMicroseconds() - cpu;
   const double digest_start = CpuMicroseconds();
--- a/src/snipe-entry/entry_peers.cpp
+++ b/src/snipe-entry/entry_peers.cpp
@@ -85,7 +85,9 @@
       return;
     case AnnounceResult::kRenewal:
       renewals_.push_back({announcement.target, announcement.incarnation,
-                           announcement.sequence, announcement.queued, 0});
+                           announcement.sequence, announcement.queued,
+                           controller_.view().DigestOf(announcement.target),
+                           0});
       renewed_at_.push_back(MonotonicNow());
       return;
   }
@@ -127,21 +129,17 @@
   if (!batch) {
     return;
   }
-  RenewFrom(*batch);
+  const bool agreed = RenewFrom(*batch);
   const auto sender =
       std::ranges::find(settings_.entry_hosts(), batch->host, &PeerHost::host);
   if (sender == settings_.entry_hosts().end()) {
     return;
   }
   const std::string address = sender->address.ToString();
-  const bool missing =
-      std::ranges::any_of(batch->renewals, [&](const Renewal& renewal) {
-        return controller_.view().Find(renewal.target) == nullptr;
-      });
   const bool differs = batch->view_digest != controller_.view().Digest();
   // Not every differing batch is followed up: a change that is on its way needs
   // no second copy.
-  if (missing || (differs && random_.Below(2) == 0)) {
+  if (!agreed || (differs && random_.Below(2) == 0)) {
     FetchView(address);
   }
   if (batch->settings_version > keeper_.version()) {
@@ -149,19 +147,22 @@
   }
 }
 
-// A renewal of an incarnation that is not known here says too little.
-void EntryPeers::RenewFrom(const RenewalBatch& batch) {
+// Returns false if another host knows something else of a target than this one:
+// a view in full must tell.
+bool EntryPeers::RenewFrom(const RenewalBatch& batch) {
   const Instant now = MonotonicNow();
+  bool agreed = true;
   for (const Renewal& renewal : batch.renewals) {
-    const Announcement* known = controller_.view().Find(renewal.target);
-    if (known == nullptr || known->incarnation != renewal.incarnation) {
-      continue;
+    const auto renewed = controller_.view().Renewed(
+        {renewal.target, renewal.incarnation, renewal.sequence, renewal.queued,
+         renewal.digest});
+    if (renewed) {
+      controller_.Announce(now, *renewed, Duration(renewal.age_us));
+    } else {
+      agreed = false;
     }
-    Announcement renewed = *known;
-    renewed.sequence = renewal.sequence;
-    renewed.queued = renewal.queued;
-    controller_.Announce(now, renewed, Duration(renewal.age_us));
   }
+  return agreed;
 }
 
 // A target can always post to the same host, and the link from that host can be
@@ -203,6 +204,7 @@
     if (const Announcement* known = controller_.view().Find(target)) {
       batch.renewals.push_back({known->target, known->incarnation,
                                 known->sequence, known->queued,
+                                controller_.view().DigestOf(target),
                                 AgeOf(controller_.view(), target)});
     }
   }
--- a/src/snipe-entry/entry_peers.h
+++ b/src/snipe-entry/entry_peers.h
@@ -47,7 +47,7 @@
               const PeerServer::Reply& reply);
   void TakeAnnouncements(const std::string& payload, bool spread_changes);
   void TakeRenewals(const std::string& payload);
-  void RenewFrom(const RenewalBatch& batch);
+  bool RenewFrom(const RenewalBatch& batch);
   void AskForStale();
   std::string RenewalsOf(const StaleQuery& query) const;
   std::string ViewInFull() const;
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -33,6 +33,8 @@
     ("draining-final", LIB + "target_view.cpp",
      "  if (drained_before) {", "  if (drained_before && false) {",
      "Draining.*"),
+    ("renewal-digest", LIB + "target_view.cpp", "      DigestOf(news.target) != news.digest) {",
+     "      news.target.empty()) {", "Draining.ARenewal*"),
     ("ejection-last", LIB + "replica_selector.cpp",
      "std::vector<Candidate>& pool = healthy.empty() ? usable : healthy;",
      "std::vector<Candidate>& pool = healthy;", "Replicas.EjectionNever*"),
