--- a/src/libsnipeworks/event_loop_test.cpp
+++ b/src/libsnipeworks/event_loop_test.cpp
@@ -1,5 +1,9 @@
 #include "snipeworks/event_loop.h"
 
+#include <unistd.h>
+
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "snipeworks/http_client.h"
@@ -11,7 +15,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kPeer[] = "127.0.0.1:23990";
+// Tests run beside each other, so each process has a loopback address of its
+// own.
+const std::string kPeer = "127." + std::to_string(1 + getpid() / 65536 % 250) +
+                          "." + std::to_string(getpid() / 256 % 256) + "." +
+                          std::to_string(1 + getpid() % 256 % 254) + ":23990";
 
 TEST(EventLoops, GoAwayWithTasksThatOwnTheirHandles) {
   EventLoop loop;
