Build calls about an attempt in one place; name the patience of a claim

Cause: cancel and probe built the same call twice, and the patience of a claim was worked out from two constants that said nothing. Change: TargetGateway::CallAbout; kClaimPatience. Conclusion: no change of behaviour.

--- a/src/include/snipeworks/target_gateway.h
+++ b/src/include/snipeworks/target_gateway.h
@@ -50,10 +50,8 @@
   void OnAnswer(AttemptId attempt, const HttpCallResult& result);
   void VerifyLoss(const Running& running);
   void Report(const Running& running, const AttemptOutcome& outcome);
-  static HttpCall ProbeCall(const Running& running);
-  void Ask(const Running& running,
-           const char* path,
-           std::function<void(const HttpCallResult&)> done);
+  /// A call about an attempt, to the target that got it.
+  static HttpCall CallAbout(const Running& running, const char* path);
 
   EventLoop& loop_;
   HttpClient client_;
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -101,7 +101,7 @@
 // The target that is asked again tells: one that has gone refuses, one that was
 // restarted has another incarnation.
 void TargetGateway::VerifyLoss(const Running& running) {
-  HttpCall call = ProbeCall(running);
+  HttpCall call = CallAbout(running, kProbePath);
   call.timeout = kVerifyTimeout;
   client_.Send(call, [this, running](const HttpCallResult& result) {
     AttemptOutcome outcome;
@@ -121,13 +121,14 @@
   });
 }
 
-HttpCall TargetGateway::ProbeCall(const Running& running) {
+HttpCall TargetGateway::CallAbout(const Running& running, const char* path) {
   HttpCall call;
   call.address = running.command.address;
-  call.path = kProbePath;
+  call.path = path;
   call.body = nlohmann::json{{"attempt", running.name}}.dump();
   call.timeout = kAskTimeout;
-  call.fresh_connection = true;
+  // A probe must not go the way of the connection that is doubted.
+  call.fresh_connection = path == std::string_view(kProbePath);
   return call;
 }
 
@@ -147,23 +148,13 @@
   on_outcome_(running.command.id, outcome);
 }
 
-void TargetGateway::Ask(const Running& running,
-                        const char* path,
-                        std::function<void(const HttpCallResult&)> done) {
-  HttpCall call;
-  call.address = running.command.address;
-  call.path = path;
-  call.body = nlohmann::json{{"attempt", running.name}}.dump();
-  call.timeout = kAskTimeout;
-  client_.Send(call, std::move(done));
-}
-
 void TargetGateway::Cancel(AttemptId attempt) {
   auto found = running_.find(attempt);
   if (found == running_.end() || std::exchange(found->second.cancelled, true)) {
     return;
   }
-  Ask(found->second, kCancelPath, [](const HttpCallResult&) {});
+  client_.Send(CallAbout(found->second, kCancelPath),
+               [](const HttpCallResult&) {});
   loop_.After(kCancelGrace, [this, attempt] {
     auto late = running_.find(attempt);
     if (late != running_.end()) {
@@ -177,7 +168,7 @@
   if (found == running_.end()) {
     return;
   }
-  const HttpCall call = ProbeCall(found->second);
+  const HttpCall call = CallAbout(found->second, kProbePath);
   client_.Send(call, [this, attempt](const HttpCallResult& result) {
     const ProbeState state = ParseProbeAnswer(result).state;
     auto late = running_.find(attempt);
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -14,8 +14,7 @@
 
 constexpr Duration kMaxTick = milliseconds(20);
 constexpr Duration kRecordPatience = std::chrono::seconds(30);
-// The claim must leave time to run the request.
-constexpr std::int64_t kClaimShareDivisor = 2;
+constexpr Duration kClaimPatience = milliseconds(2500);
 
 std::uint64_t WallMilliseconds() {
   return static_cast<std::uint64_t>(
@@ -193,8 +192,7 @@
 
 void EntryHost::Do(const ActionStep& step) {
   if (const auto* claim = std::get_if<ClaimKey>(&step)) {
-    const Duration patience = milliseconds(5000) / kClaimShareDivisor;
-    control_.Propose(claim->command, patience,
+    control_.Propose(claim->command, kClaimPatience,
                      [this, id = claim->id](const auto& result) {
                        actions_.OnClaimResult(MonotonicNow(), id, result);
                      });
