--- /dev/null
+++ b/src/libsnipeworks/http_listener.cpp
@@ -0,0 +1,593 @@
+#include "snipeworks/http_listener.h"
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <uv.h>
+
+#include <array>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <glog/logging.h>
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBacklog = 1024;
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+// Bytes that may wait behind a request that is being answered.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+constexpr Duration kSweepInterval = milliseconds(250);
+// A caller reads the last answer of a connection before it is reset for what
+// it had sent besides.
+constexpr Duration kLinger = milliseconds(1000);
+constexpr int kBadRequestStatus = 400;
+constexpr int kTimeoutStatus = 408;
+constexpr int kTooLargeStatus = 413;
+constexpr int kHeadersTooLargeStatus = 431;
+
+const char* ReasonOf(int status) {
+  switch (status) {
+#define SNIPEWORKS_REASON(number, name, text) \
+  case number:                                \
+    return #text;
+    HTTP_STATUS_MAP(SNIPEWORKS_REASON)
+#undef SNIPEWORKS_REASON
+    default:
+      return "Unknown";
+  }
+}
+
+bool HasNoBody(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
+
+struct PendingWrite {
+  uv_write_t request;
+  std::string bytes;
+};
+
+}  // namespace
+
+class HttpListener::Impl {
+ public:
+  Impl(EventLoop& loop, const ListenerLimits& limits, Handlers handlers)
+      : loop_(loop),
+        limits_(limits),
+        handlers_(std::move(handlers)),
+        sweep_(loop, [this] { Sweep(); }) {
+    http_parser_settings_init(&callbacks_);
+    callbacks_.on_message_begin = [](http_parser* parser) {
+      Of(parser).OnBegin();
+      return 0;
+    };
+    callbacks_.on_url = [](http_parser* parser, const char* at,
+                           std::size_t size) {
+      return Of(parser).OnTarget({at, size});
+    };
+    callbacks_.on_header_field = [](http_parser* parser, const char* at,
+                                    std::size_t size) {
+      return Of(parser).OnHeaderName({at, size});
+    };
+    callbacks_.on_header_value = [](http_parser* parser, const char* at,
+                                    std::size_t size) {
+      return Of(parser).OnHeaderValue({at, size});
+    };
+    callbacks_.on_headers_complete = [](http_parser* parser) {
+      return Of(parser).OnHeadersComplete();
+    };
+    callbacks_.on_body = [](http_parser* parser, const char* at,
+                            std::size_t size) {
+      return Of(parser).OnBody({at, size});
+    };
+    callbacks_.on_message_complete = [](http_parser* parser) {
+      Of(parser).OnComplete();
+      return 0;
+    };
+  }
+
+  ~Impl() {
+    StopListening();
+    while (!connections_.empty()) {
+      Connection* connection = connections_.begin()->second;
+      connection->exchange = 0;
+      Close(*connection);
+    }
+  }
+
+  Result<void> Listen(const Address& address) {
+    listener_ = new uv_tcp_t;
+    uv_tcp_init(loop_.raw(), listener_);
+    listener_->data = this;
+    sockaddr_in where{};
+    uv_ip4_addr(address.ip.c_str(), address.port, &where);
+    int failed =
+        uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
+    if (failed == 0) {
+      failed = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog,
+                         [](uv_stream_t* stream, int status) {
+                           if (status == 0) {
+                             static_cast<Impl*>(stream->data)->Accept();
+                           }
+                         });
+    }
+    if (failed != 0) {
+      StopListening();
+      return Fail(ErrorKind::kInternal, "cannot listen on " +
+                                            address.ToString() + ": " +
+                                            uv_strerror(failed));
+    }
+    sweep_.Set(kSweepInterval);
+    return {};
+  }
+
+  void Answer(ExchangeId id, const HttpResponse& response) {
+    auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    Connection& connection = *found->second;
+    exchanges_.erase(found);
+    connection.exchange = 0;
+    Respond(connection, response);
+  }
+
+  void SetLimits(const ListenerLimits& limits) { limits_ = limits; }
+  void CloseAfterAnswers() { close_after_answers_ = true; }
+
+  void StopAccepting() {
+    StopListening();
+    std::vector<Connection*> idle;
+    for (const auto& [id, connection] : connections_) {
+      if (connection->Idle()) {
+        idle.push_back(connection);
+      }
+    }
+    for (Connection* connection : idle) {
+      Close(*connection);
+    }
+  }
+
+  std::size_t open_exchanges() const { return exchanges_.size(); }
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  // One caller's connection. The parser is the state of the request that is
+  // being read; `pending` are bytes that came after it.
+  struct Connection {
+    uv_tcp_t handle;
+    http_parser parser;
+    Impl* owner = nullptr;
+    std::uint64_t id = 0;
+    ExchangeId exchange = 0;
+    HttpRequest request;
+    std::string pending;
+    std::size_t header_bytes = 0;
+    bool value_seen = false;
+    bool reading = false;
+    bool in_request = false;
+    bool in_body = false;
+    bool complete = false;
+    bool keep_alive = true;
+    bool is_head = false;
+    bool closing = false;
+    bool lingering = false;
+    int refused = 0;  // Status for a request that breaks a limit.
+    Instant since{};  // Start of the request, or of the idle time.
+
+    bool Idle() const { return exchange == 0 && !in_request && !lingering; }
+
+    void OnBegin() {
+      request = HttpRequest{};
+      header_bytes = 0;
+      value_seen = false;
+      complete = false;
+      in_request = true;
+      in_body = false;
+      since = MonotonicNow();
+    }
+
+    int Count(std::size_t bytes) {
+      header_bytes += bytes;
+      if (header_bytes <= owner->limits_.max_header_bytes) {
+        return 0;
+      }
+      refused = kHeadersTooLargeStatus;
+      return 1;
+    }
+
+    int OnTarget(std::string_view piece) {
+      request.target.append(piece);
+      return Count(piece.size());
+    }
+
+    int OnHeaderName(std::string_view piece) {
+      if (request.headers.empty() || value_seen) {
+        request.headers.emplace_back();
+        value_seen = false;
+      }
+      request.headers.back().name.append(piece);
+      return Count(piece.size());
+    }
+
+    int OnHeaderValue(std::string_view piece) {
+      if (!request.headers.empty()) {
+        request.headers.back().value.append(piece);
+      }
+      value_seen = true;
+      return Count(piece.size());
+    }
+
+    int OnHeadersComplete() {
+      in_body = true;
+      const bool declared =
+          parser.content_length != 0 &&
+          parser.content_length != static_cast<std::uint64_t>(-1);
+      if (declared && parser.content_length > owner->limits_.max_body_bytes) {
+        refused = kTooLargeStatus;
+        return -1;
+      }
+      const bool has_body = declared || ((parser.flags & F_CHUNKED) != 0);
+      if (has_body && ListHas(request.Header("Expect"), "100-continue")) {
+        owner->Write(*this, "HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return 0;
+    }
+
+    int OnBody(std::string_view piece) {
+      if (request.body.size() + piece.size() > owner->limits_.max_body_bytes) {
+        refused = kTooLargeStatus;
+        return 1;
+      }
+      request.body.append(piece);
+      return 0;
+    }
+
+    void OnComplete() {
+      complete = true;
+      keep_alive = http_should_keep_alive(&parser) != 0;
+      http_parser_pause(&parser, 1);
+    }
+  };
+
+  static Connection& Of(http_parser* parser) {
+    return *static_cast<Connection*>(parser->data);
+  }
+
+  void StopListening() {
+    if (listener_ != nullptr) {
+      uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+               [](uv_handle_t* handle) {
+                 delete reinterpret_cast<uv_tcp_t*>(handle);
+               });
+      listener_ = nullptr;
+    }
+  }
+
+  void Accept() {
+    auto* connection = new Connection;
+    connection->owner = this;
+    uv_tcp_init(loop_.raw(), &connection->handle);
+    connection->handle.data = connection;
+    const int accepted =
+        uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
+                  reinterpret_cast<uv_stream_t*>(&connection->handle));
+    if (accepted != 0) {
+      LOG(WARNING) << "event=accept_failed reason=\"" << uv_strerror(accepted)
+                   << "\"";
+      uv_close(reinterpret_cast<uv_handle_t*>(&connection->handle),
+               [](uv_handle_t* handle) {
+                 delete static_cast<Connection*>(handle->data);
+               });
+      return;
+    }
+    uv_tcp_nodelay(&connection->handle, 1);
+    http_parser_init(&connection->parser, HTTP_REQUEST);
+    connection->parser.data = connection;
+    connection->id = next_connection_++;
+    connection->since = MonotonicNow();
+    connections_[connection->id] = connection;
+    StartReading(*connection);
+  }
+
+  void StartReading(Connection& connection) {
+    if (connection.reading || connection.closing) {
+      return;
+    }
+    connection.reading = true;
+    uv_read_start(
+        reinterpret_cast<uv_stream_t*>(&connection.handle),
+        [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+          Impl& owner = *static_cast<Connection*>(handle->data)->owner;
+          *buffer = uv_buf_init(owner.buffer_.data(),
+                                static_cast<unsigned>(owner.buffer_.size()));
+        },
+        [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+          auto& connection = *static_cast<Connection*>(stream->data);
+          if (size > 0) {
+            connection.owner->OnData(
+                connection, {buffer->base, static_cast<std::size_t>(size)});
+          } else if (size < 0) {
+            connection.owner->Close(connection);
+          }
+        });
+  }
+
+  void OnData(Connection& connection, std::string_view bytes) {
+    if (connection.lingering) {
+      return;
+    }
+    if (connection.exchange == 0 && connection.pending.empty()) {
+      Parse(connection, bytes);
+      return;
+    }
+    connection.pending.append(bytes);
+    if (connection.pending.size() > kMaxPipelinedBytes) {
+      connection.reading = false;
+      uv_read_stop(reinterpret_cast<uv_stream_t*>(&connection.handle));
+    }
+  }
+
+  // Reads up to the end of one request; the rest waits in `pending`.
+  void Parse(Connection& connection, std::string_view bytes) {
+    const std::size_t used = http_parser_execute(
+        &connection.parser, &callbacks_, bytes.data(), bytes.size());
+    const auto fault = HTTP_PARSER_ERRNO(&connection.parser);
+    if (connection.closing) {
+      return;
+    }
+    if (connection.complete) {
+      http_parser_pause(&connection.parser, 0);
+      connection.complete = false;
+      connection.in_request = false;
+      // What follows a request to switch protocols is not HTTP.
+      const bool switched = connection.parser.upgrade != 0;
+      connection.keep_alive = connection.keep_alive && !switched;
+      if (!switched) {
+        connection.pending.append(bytes.substr(std::min(used, bytes.size())));
+      }
+      Deliver(connection);
+      return;
+    }
+    if (fault == HPE_OK) {
+      return;
+    }
+    int status = connection.refused;
+    if (status == 0) {
+      status = fault == HPE_HEADER_OVERFLOW ? kHeadersTooLargeStatus
+                                            : kBadRequestStatus;
+    }
+    Refuse(connection, status, http_errno_description(fault));
+  }
+
+  void Refuse(Connection& connection, int status, const char* reason) {
+    connection.keep_alive = false;
+    connection.in_request = false;
+    connection.is_head = false;
+    HttpResponse response;
+    response.status = status;
+    response.content_type = "text/plain";
+    response.body = std::string(reason) + "\n";
+    Respond(connection, response);
+  }
+
+  void Deliver(Connection& connection) {
+    connection.is_head = connection.parser.method == HTTP_HEAD;
+    HttpRequest request = std::move(connection.request);
+    connection.request = HttpRequest{};
+    request.method =
+        http_method_str(static_cast<http_method>(connection.parser.method));
+    request.path = request.target.substr(0, request.target.find('?'));
+    request.connection = connection.id;
+    const ExchangeId id = next_exchange_++;
+    connection.exchange = id;
+    exchanges_[id] = &connection;
+    handlers_.on_request(id, std::move(request));
+  }
+
+  void Respond(Connection& connection, const HttpResponse& response) {
+    const bool close =
+        response.close || close_after_answers_ || !connection.keep_alive;
+    std::string head;
+    head.reserve(256 + response.body.size());
+    head += "HTTP/1.1 ";
+    head += std::to_string(response.status);
+    head += ' ';
+    head += ReasonOf(response.status);
+    head += "\r\n";
+    if (!response.content_type.empty()) {
+      head += "Content-Type: " + response.content_type + "\r\n";
+    }
+    for (const HttpHeader& header : response.headers) {
+      head += header.name;
+      head += ": ";
+      head += header.value;
+      head += "\r\n";
+    }
+    if (!HasNoBody(response.status)) {
+      head += "Content-Length: ";
+      head += std::to_string(
+          response.declared_length.value_or(response.body.size()));
+      head += "\r\n";
+    }
+    if (close) {
+      head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    if (!connection.is_head && !HasNoBody(response.status)) {
+      head += response.body;
+    }
+    connection.since = MonotonicNow();
+    Write(connection, std::move(head));
+    if (connection.closing) {
+      return;
+    }
+    if (close) {
+      Linger(connection);
+      return;
+    }
+    StartReading(connection);
+    if (!connection.pending.empty()) {
+      // From the loop, so that a run of pipelined requests that are answered
+      // at once does not nest.
+      loop_.Post([this, id = connection.id] { ParsePending(id); });
+    }
+  }
+
+  void ParsePending(std::uint64_t id) {
+    auto found = connections_.find(id);
+    if (found == connections_.end() || found->second->exchange != 0 ||
+        found->second->lingering) {
+      return;
+    }
+    const std::string bytes = std::exchange(found->second->pending, {});
+    Parse(*found->second, bytes);
+  }
+
+  void Write(Connection& connection, std::string bytes) {
+    auto* stream = reinterpret_cast<uv_stream_t*>(&connection.handle);
+    uv_buf_t buffer =
+        uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+    const int written = uv_try_write(stream, &buffer, 1);
+    if (written == static_cast<int>(bytes.size())) {
+      return;
+    }
+    if (written < 0 && written != UV_EAGAIN) {
+      Close(connection);
+      return;
+    }
+    auto* write = new PendingWrite{{}, std::move(bytes)};
+    write->request.data = write;
+    const std::size_t done =
+        written > 0 ? static_cast<std::size_t>(written) : 0;
+    buffer = uv_buf_init(write->bytes.data() + done,
+                         static_cast<unsigned>(write->bytes.size() - done));
+    const int queued = uv_write(
+        &write->request, stream, &buffer, 1, [](uv_write_t* request, int) {
+          delete static_cast<PendingWrite*>(request->data);
+        });
+    if (queued != 0) {
+      delete write;
+      Close(connection);
+    }
+  }
+
+  // Sends what is queued and the end of the stream, then waits for the
+  // caller's own end: closing with unread bytes would reset the answer.
+  void Linger(Connection& connection) {
+    connection.lingering = true;
+    connection.pending.clear();
+    StartReading(connection);
+    auto* shutdown = new uv_shutdown_t;
+    const int started = uv_shutdown(
+        shutdown, reinterpret_cast<uv_stream_t*>(&connection.handle),
+        [](uv_shutdown_t* request, int) { delete request; });
+    if (started != 0) {
+      delete shutdown;
+      Close(connection);
+    }
+  }
+
+  void Close(Connection& connection) {
+    if (std::exchange(connection.closing, true)) {
+      return;
+    }
+    connections_.erase(connection.id);
+    const ExchangeId exchange = std::exchange(connection.exchange, 0);
+    uv_close(reinterpret_cast<uv_handle_t*>(&connection.handle),
+             [](uv_handle_t* handle) {
+               delete static_cast<Connection*>(handle->data);
+             });
+    if (exchange != 0) {
+      exchanges_.erase(exchange);
+      handlers_.on_gone(exchange);
+    }
+  }
+
+  void Sweep() {
+    const Instant now = MonotonicNow();
+    std::vector<Connection*> late;
+    std::vector<Connection*> idle;
+    for (const auto& [id, connection] : connections_) {
+      const Duration age = now - connection->since;
+      if (connection->lingering
+              ? age > kLinger
+              : connection->Idle() && age > limits_.idle_timeout) {
+        idle.push_back(connection);
+      } else if (connection->in_request &&
+                 age > (connection->in_body ? limits_.request_timeout
+                                            : limits_.header_timeout)) {
+        late.push_back(connection);
+      }
+    }
+    for (Connection* connection : idle) {
+      Close(*connection);
+    }
+    for (Connection* connection : late) {
+      Refuse(*connection, kTimeoutStatus, "the request took too long");
+    }
+    sweep_.Set(kSweepInterval);
+  }
+
+  EventLoop& loop_;
+  ListenerLimits limits_;
+  Handlers handlers_;
+  http_parser_settings callbacks_{};
+  uv_tcp_t* listener_ = nullptr;
+  std::unordered_map<std::uint64_t, Connection*> connections_;
+  std::unordered_map<ExchangeId, Connection*> exchanges_;
+  std::uint64_t next_connection_ = 1;
+  ExchangeId next_exchange_ = 1;
+  bool close_after_answers_ = false;
+  std::array<char, kReadBytes> buffer_;
+  LoopTimer sweep_;
+};
+
+Result<std::unique_ptr<HttpListener>> HttpListener::Start(
+    EventLoop& loop,
+    const Address& address,
+    const ListenerLimits& limits,
+    Handlers handlers) {
+  auto impl = std::make_unique<Impl>(loop, limits, std::move(handlers));
+  if (auto listening = impl->Listen(address); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<HttpListener>(new HttpListener(std::move(impl)));
+}
+
+HttpListener::HttpListener(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+HttpListener::~HttpListener() = default;
+
+void HttpListener::Answer(ExchangeId exchange, const HttpResponse& response) {
+  impl_->Answer(exchange, response);
+}
+
+void HttpListener::SetLimits(const ListenerLimits& limits) {
+  impl_->SetLimits(limits);
+}
+
+void HttpListener::CloseAfterAnswers() {
+  impl_->CloseAfterAnswers();
+}
+
+void HttpListener::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+std::size_t HttpListener::open_exchanges() const {
+  return impl_->open_exchanges();
+}
+
+std::size_t HttpListener::connections() const {
+  return impl_->connections();
+}
+
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/http_message.cpp
@@ -0,0 +1,69 @@
+#include "snipeworks/http_message.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace snipeworks {
+
+namespace {
+
+// RFC 9110, section 7.6.1, and the headers that frame a body or make it wait.
+constexpr std::array<std::string_view, 10> kConnectionHeaders = {
+    "Connection", "Keep-Alive",    "Proxy-Connection",  "Proxy-Authenticate",
+    "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
+    "Expect",     "Content-Length"};
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view FindHeader(const std::vector<HttpHeader>& headers,
+                            std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (SameHeaderName(header.name, name)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+bool ListHas(std::string_view list, std::string_view item) {
+  while (!list.empty()) {
+    const auto comma = list.find(',');
+    if (SameHeaderName(Trim(list.substr(0, comma)), item)) {
+      return true;
+    }
+    list = comma == std::string_view::npos ? std::string_view()
+                                           : list.substr(comma + 1);
+  }
+  return false;
+}
+
+void DropConnectionHeaders(std::vector<HttpHeader>& headers) {
+  const std::string named(FindHeader(headers, "Connection"));
+  std::erase_if(headers, [&](const HttpHeader& header) {
+    return std::ranges::any_of(kConnectionHeaders,
+                               [&](std::string_view name) {
+                                 return SameHeaderName(header.name, name);
+                               }) ||
+           (!named.empty() && ListHas(named, header.name));
+  });
+}
+
+std::string_view HttpRequest::Header(std::string_view name) const {
+  return FindHeader(headers, name);
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/http_server.cpp
+++ b/src/libsnipeworks/http_server.cpp
@@ -1,7 +1,6 @@
 #include "snipeworks/http_server.h"
 
 #include <arpa/inet.h>
-#include <strings.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -23,21 +22,8 @@
 thread_local std::uint64_t connection_of_thread = 0;
 thread_local bool request_counted = false;
 
-bool SameName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 }  // namespace
 
-std::string_view HttpRequest::Header(std::string_view name) const {
-  for (const HttpHeader& header : headers) {
-    if (SameName(header.name, name)) {
-      return header.value;
-    }
-  }
-  return {};
-}
-
 class HttpServer::Impl {
  public:
   Impl(const HttpServerConfig& config, Handler handler)
--- a/src/libsnipeworks/peer_transport.cpp
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -28,7 +28,7 @@
   // Listeners are libuv handles, which outlive their owner until closed.
   ~Impl() {
     *alive_ = false;
-    for (Http2Connection* connection : std::set(connections_)) {
+    for (const auto& [connection, id] : std::map(connections_)) {
       connection->Close();
     }
     if (listener_ != nullptr) {
@@ -79,7 +79,7 @@
     };
     *self = Http2Connection::New(loop_.raw(), Http2Connection::Role::kServer,
                                  std::move(events), traffic_);
-    connections_.insert(*self);
+    connections_[*self] = next_connection_++;
     if (!(*self)->Accept(listener)) {
       (*self)->Close();
     }
@@ -89,9 +89,15 @@
               std::int32_t stream,
               const Http2Message& message) {
     ++traffic_.calls_received;
+    // A later connection may have the same place in memory.
+    const std::uint64_t id = connections_.at(connection);
     handler_(message.path, message.payload,
-             [this, connection, stream, alive = alive_](PeerResult result) {
-               if (!*alive || !connections_.contains(connection)) {
+             [this, connection, id, stream, alive = alive_](PeerResult result) {
+               if (!*alive) {
+                 return;
+               }
+               auto found = connections_.find(connection);
+               if (found == connections_.end() || found->second != id) {
                  return;
                }
                if (result) {
@@ -106,7 +112,8 @@
   EventLoop& loop_;
   Handler handler_;
   uv_tcp_t* listener_ = nullptr;
-  std::set<Http2Connection*> connections_;
+  std::map<Http2Connection*, std::uint64_t> connections_;
+  std::uint64_t next_connection_ = 1;
   PeerTraffic traffic_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libsnipeworks/policy.cpp
+++ b/src/libsnipeworks/policy.cpp
@@ -31,6 +31,23 @@
     PolicyField{"extra_attempts_percent", &GroupPolicy::extra_attempts_percent,
                 0, 100, Names(),
                 "most hedges and retries, in percent of primary attempts"},
+    PolicyField{"extra_attempts_slack", &GroupPolicy::extra_attempts_slack, 0,
+                100000, Names(),
+                "hedges and retries that all hosts together may make in 10 s "
+                "beyond that, at any load"},
+    PolicyField{"max_attempts", &GroupPolicy::max_attempts, 0, 100, Names(),
+                "most targets that may run one part of a request; 0 for no "
+                "limit"},
+    PolicyField{"min_coverage_permille", &GroupPolicy::min_coverage_permille, 0,
+                1000, Names(),
+                "least share of the parts in an answer, in thousandths"},
+    PolicyField{"other_zone_percent", &GroupPolicy::other_zone_percent, 100,
+                1000, Names(),
+                "what a target in another zone counts as, in percent of an "
+                "equal one in the own zone"},
+    PolicyField{"probe_silent", &GroupPolicy::probe_silent, 0, 1, kSwitch,
+                "whether a target that keeps silent is asked over another "
+                "connection"},
     PolicyField{"canary", &GroupPolicy::canary, 0, 2, kCanaries,
                 "which requests run on one part before they fan out"},
     PolicyField{"quarantine_s", &GroupPolicy::quarantine_s, 1, 86400, Names(),
--- /dev/null
+++ b/src/libsnipeworks/record_merge.cpp
@@ -0,0 +1,29 @@
+#include "snipeworks/record_merge.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace snipeworks {
+
+std::string GreatestRecords(const std::vector<std::string_view>& parts,
+                            std::size_t most) {
+  std::vector<std::string_view> records;
+  for (std::string_view part : parts) {
+    while (part.size() >= kRecordBytes) {
+      records.push_back(part.substr(0, kRecordBytes));
+      part.remove_prefix(kRecordBytes);
+    }
+  }
+  const std::size_t count = std::min(most, records.size());
+  std::ranges::partial_sort(
+      records, records.begin() + static_cast<std::ptrdiff_t>(count),
+      std::greater<>());
+  std::string merged;
+  merged.reserve(count * kRecordBytes);
+  for (std::size_t i = 0; i < count; ++i) {
+    merged += records[i];
+  }
+  return merged;
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -16,20 +16,64 @@
 
 ReplicaSelector::ReplicaSelector(TargetView& view,
                                  Random& random,
-                                 std::uint32_t fleet_hosts)
-    : view_(view), random_(random), fleet_hosts_(std::max(1U, fleet_hosts)) {}
+                                 SelectorConfig config)
+    : view_(view), random_(random), config_(std::move(config)) {
+  config_.fleet_hosts = std::max(1U, config_.fleet_hosts);
+}
+
+void ReplicaSelector::SetFleetHosts(std::uint32_t hosts) {
+  config_.fleet_hosts = std::max(1U, hosts);
+  for (auto& [name, stats] : stats_) {
+    if (const Announcement* target = view_.Find(name)) {
+      stats.set_share(UsableShare(*target));
+    }
+  }
+}
+
+void ReplicaSelector::SetConnectionLimit(const std::string& group,
+                                         std::uint32_t limit) {
+  connection_limits_[group] = limit;
+  for (auto& [name, stats] : stats_) {
+    const Announcement* target = view_.Find(name);
+    if (target != nullptr && target->group == group) {
+      stats.set_share(UsableShare(*target));
+    }
+  }
+}
+
+double ReplicaSelector::Score(const ReplicaQuery& query,
+                              const Candidate& one) const {
+  const double score =
+      one.stats->Score(query.now, query.reference, query.policy);
+  const bool elsewhere =
+      !config_.zone.empty() && one.target->zone != config_.zone;
+  return elsewhere
+             ? score * static_cast<double>(query.policy.other_zone_percent) /
+                   100.0
+             : score;
+}
 
 // The share counts every entry host that is allowed in the fleet, alive or not:
 // a host that is cut off from the others still holds its connections. A part of
 // the limit is left free, since a target goes on counting connections that
 // went silent until it gives them up itself.
-std::uint32_t ReplicaSelector::ConnectionShare(std::uint32_t limit) const {
-  return std::max(1U, limit * kSharedPercent / 100 / fleet_hosts_);
+std::uint32_t ReplicaSelector::ConnectionShare(
+    const Announcement& target) const {
+  auto found = connection_limits_.find(target.group);
+  const std::uint32_t limit =
+      found == connection_limits_.end() ? target.connections : found->second;
+  return std::max(1U, limit * kSharedPercent / 100 / config_.fleet_hosts);
+}
+
+std::uint32_t ReplicaSelector::UsableShare(const Announcement& target) const {
+  const std::uint32_t share = ConnectionShare(target);
+  return share > config_.spare_connections ? share - config_.spare_connections
+                                           : 1;
 }
 
 void ReplicaSelector::OnAnnouncement(Instant now,
                                      const Announcement& announcement) {
-  const std::uint32_t share = ConnectionShare(announcement.connections);
+  const std::uint32_t share = UsableShare(announcement);
   auto [slot, added] =
       stats_.try_emplace(announcement.target, now, announcement, share);
   if (!added) {
@@ -72,8 +116,7 @@
     if (one.stats->IsEjected(query.now) || !one.stats->HasRoom(query.now)) {
       continue;
     }
-    const double score =
-        one.stats->Score(query.now, query.reference, query.policy);
+    const double score = Score(query, one);
     best = std::min(score, best.value_or(score));
   }
   return best;
@@ -96,9 +139,8 @@
   // nothing yet do not all start on the same replica.
   const std::size_t first = random_.Below(candidates.size());
   std::swap(candidates[0], candidates[first]);
-  return *std::ranges::min_element(candidates, {}, [&](const Candidate& one) {
-    return one.stats->Score(query.now, query.reference, query.policy);
-  });
+  return *std::ranges::min_element(
+      candidates, {}, [&](const Candidate& one) { return Score(query, one); });
 }
 
 ReplicaChoice ReplicaSelector::Choose(const ReplicaQuery& query) {
--- a/src/libsnipeworks/request_filters.cpp
+++ b/src/libsnipeworks/request_filters.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "snipeworks/search_run.h"
+
 namespace snipeworks {
 
 namespace {
@@ -19,6 +21,9 @@
 
 Result<void> SyntaxFilter::Apply(SearchContext& context) {
   const SearchRequest& request = context.request;
+  if (request.plan) {
+    return {};  // Its interface has checked it against its own limits.
+  }
   if (request.query.empty()) {
     return Fail(ErrorKind::kBadRequest, "query: must not be empty");
   }
@@ -45,13 +50,22 @@
   }
   const GroupPolicy& policy = context.group->policy;
   context.budget = request.budget.value_or(milliseconds(policy.deadline_ms));
-  context.snapshot = context.group->Snapshot(context.now, view_);
-  const bool usable =
-      context.snapshot &&
-      std::ranges::any_of(context.snapshot->replicas,
-                          [](const auto& holders) { return !holders.empty(); });
-  if (!usable) {
-    return Fail(ErrorKind::kNoTarget, "no live target of " + request.group,
+  context.snapshot =
+      request.plan ? context.group->Snapshot(context.now, view_, request.plan)
+                   : context.group->Snapshot(context.now, view_);
+  std::size_t held = 0;
+  std::size_t needed = 1;
+  if (context.snapshot) {
+    const auto& replicas = context.snapshot->replicas;
+    held = static_cast<std::size_t>(std::ranges::count_if(
+        replicas, [](const auto& holders) { return !holders.empty(); }));
+    needed = NeededParts(policy, replicas.size());
+  }
+  if (held < needed) {
+    return Fail(ErrorKind::kNoTarget,
+                "live targets hold " + std::to_string(held) + " parts of " +
+                    request.group + ", " + std::to_string(needed) +
+                    " are needed",
                 kNoTargetRetryAfter);
   }
   return {};
@@ -60,7 +74,9 @@
 Result<void> QuarantineFilter::Apply(SearchContext& context) {
   using Standing = PoisonTracker::Standing;
   const SearchRequest& request = context.request;
-  context.fingerprint = FingerprintOf(request.group, request.query);
+  context.fingerprint = request.forwarded
+                            ? request.forwarded->fingerprint
+                            : FingerprintOf(request.group, request.query);
   context.standing = poison_.StandingOf(context.now, context.fingerprint,
                                         context.snapshot->id());
   const bool refused = context.standing == Standing::kQuarantined ||
@@ -90,8 +106,7 @@
   const RequestClass request_class = context.request.request_class;
   Duration longest{};
   for (std::size_t i = 0; i < snapshot.replicas.size(); ++i) {
-    const PartKey key{context.request.group, snapshot.id(),
-                      snapshot.manifest.parts[i].part};
+    const PartKey key = KeyOf(context.request, snapshot, i);
     GroupState::Backlog backlog;
     backlog.ahead = queue_.Ahead(key, request_class);
     if (backlog.ahead == 0) {
--- a/src/libsnipeworks/rocks_log_store.cpp
+++ b/src/libsnipeworks/rocks_log_store.cpp
@@ -65,7 +65,9 @@
 
 class RocksLogStore::Impl {
  public:
-  Result<void> Open(const std::string& folder) {
+  Result<void> Open(const std::string& folder,
+                    const std::string& blank_disk_id) {
+    blank_disk_id_ = blank_disk_id;
     std::error_code error;
     std::filesystem::create_directories(folder, error);
     rocksdb::DB* raw = nullptr;
@@ -168,7 +170,7 @@
       return tl::unexpected(has_disk.error());
     }
     if (!*has_disk) {
-      stored_.disk = NewDiskId();
+      stored_.disk = blank_disk_id_.empty() ? NewDiskId() : blank_disk_id_;
       if (!Put(kDiskKey, stored_.disk)) {
         return Fault(folder, "cannot be written");
       }
@@ -210,6 +212,7 @@
   }
 
   std::unique_ptr<rocksdb::DB> database_;
+  std::string blank_disk_id_;
   StoredLog stored_;
   LogIndex last_ = 0;
 };
@@ -220,9 +223,10 @@
 RocksLogStore::~RocksLogStore() = default;
 
 Result<std::unique_ptr<RocksLogStore>> RocksLogStore::Open(
-    const std::string& folder) {
+    const std::string& folder,
+    const std::string& blank_disk_id) {
   auto impl = std::make_unique<Impl>();
-  if (Result<void> opened = impl->Open(folder); !opened) {
+  if (Result<void> opened = impl->Open(folder, blank_disk_id); !opened) {
     return tl::unexpected(opened.error());
   }
   return std::unique_ptr<RocksLogStore>(new RocksLogStore(std::move(impl)));
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -11,6 +11,15 @@
 
 SearchController::~SearchController() = default;
 
+void SearchController::SetConnectionLimit(const std::string& group,
+                                          std::uint32_t limit) {
+  impl_->selector().SetConnectionLimit(group, limit);
+}
+
+void SearchController::SetFleetHosts(std::uint32_t hosts) {
+  impl_->SetFleetHosts(hosts);
+}
+
 void SearchController::ApplySettings(const FleetSettings& settings) {
   impl_->ApplySettings(settings);
 }
@@ -92,7 +101,7 @@
 
 std::uint32_t SearchController::ConnectionShare(
     const Announcement& target) const {
-  return impl_->selector().ConnectionShare(target.connections);
+  return impl_->selector().ConnectionShare(target);
 }
 
 std::size_t SearchController::running() const {
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -10,6 +10,12 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kPruneInterval = milliseconds(1000);
+// A route that nobody uses for so long is learnt anew.
+constexpr Duration kGroupForgotten = std::chrono::minutes(2);
+// Attempts cross the edges of a window on their way to the targets, so hosts
+// keep a little under what all of them together may send.
+constexpr double kExtraMargin = 0.8;
+constexpr Duration kEndless = std::chrono::hours(24 * 365 * 10);
 
 bool SameHoldings(const Announcement& a, const Announcement& b) {
   return a.incarnation == b.incarnation && a.state == b.state &&
@@ -21,8 +27,11 @@
 SearchEngine::SearchEngine(SearchControllerConfig config)
     : config_(std::move(config)),
       random_(config_.seed),
-      view_(milliseconds(GroupPolicy().lease_ms)),
-      selector_(view_, random_, config_.fleet_hosts),
+      view_(config_.leases ? Duration(milliseconds(GroupPolicy().lease_ms))
+                           : kEndless),
+      selector_(view_,
+                random_,
+                {config_.fleet_hosts, config_.spare_connections, config_.zone}),
       filters_(SyntaxFilter(),
                SnapshotFilter(
                    view_,
@@ -30,9 +39,47 @@
                QuarantineFilter(poison_),
                AdmissionFilter(queue_, selector_)) {}
 
+void SearchEngine::SetFleetHosts(std::uint32_t hosts) {
+  config_.fleet_hosts = std::max(1U, hosts);
+  selector_.SetFleetHosts(config_.fleet_hosts);
+}
+
+ExtraBudgetLimits SearchEngine::ExtraLimits(const GroupPolicy& policy) const {
+  ExtraBudgetLimits limits = policy.extra_limits();
+  limits.slack *= kExtraMargin / config_.fleet_hosts;
+  if (limits.slack > 0.0) {
+    limits.ratio *= kExtraMargin;
+  }
+  return limits;
+}
+
+bool SearchEngine::TakeExtra(Instant now,
+                             const GroupPolicy& policy,
+                             const std::string& group,
+                             double reserve) {
+  return extra_budgets_[group].TryTake(now, ExtraLimits(policy), reserve);
+}
+
+std::optional<Duration> SearchEngine::HedgeDelay(Instant now,
+                                                 const AttemptRun& run) {
+  const GroupState& group = EnsureGroup(run.group);
+  const double left =
+      extra_budgets_[run.target_group].Fullness(now, ExtraLimits(group.policy));
+  return group.HedgeDelay(now, left);
+}
+
+void SearchEngine::PruneGroups(Instant now) {
+  std::erase_if(groups_, [&](const auto& entry) {
+    const Instant used = entry.second.used_at();
+    return used != Instant{} && now - used > kGroupForgotten;
+  });
+}
+
 void SearchEngine::ApplySettings(const FleetSettings& settings) {
   settings_ = settings;
-  view_.set_lease(milliseconds(settings.defaults().lease_ms));
+  if (config_.leases) {
+    view_.set_lease(milliseconds(settings.defaults().lease_ms));
+  }
   for (auto& [name, group] : groups_) {
     group.policy = settings.For(name);
   }
@@ -46,10 +93,13 @@
   if (!view_.Merge(now, news, age)) {
     return AnnounceResult::kOld;
   }
-  GroupState& group = EnsureGroup(news.group);
+  EnsureGroup(news.group);
   selector_.OnAnnouncement(now, news);
   if (!same) {
-    group.Invalidate();
+    // Any plan may name the target's group.
+    for (auto& [name, group] : groups_) {
+      group.Invalidate();
+    }
   }
   MarkReady(news);
   Pump(now);
@@ -58,6 +108,9 @@
 
 void SearchEngine::Submit(Instant now, const SearchRequest& request) {
   SearchContext context{now, request};
+  if (request.plan) {
+    EnsureGroup(request.group).policy = request.plan->policy;
+  }
   Result<void> admitted = filters_.Apply(context);
   if (!admitted) {
     actions_.emplace_back(
@@ -77,7 +130,12 @@
 
 void SearchEngine::OnCallerGone(Instant now, RequestId request) {
   auto found = searches_.find(request);
-  if (found != searches_.end()) {
+  // What may run once only is left to its target: breaking it off would not
+  // undo it.
+  const bool keep = found != searches_.end() &&
+                    !found->second.request().repeatable &&
+                    found->second.MayHaveRun();
+  if (found != searches_.end() && !keep) {
     Remove(now, found->second);
     Pump(now);
   }
@@ -106,6 +164,7 @@
   if (queue_.size() == 0) {
     return;
   }
+  ready_.insert({target.group, {}, 0});
   for (const HeldSnapshot& held : target.snapshots) {
     for (PartNumber part : held.parts) {
       ready_.insert({target.group, held.manifest.id, part});
@@ -121,8 +180,9 @@
       }
     } else if (const auto* soft = std::get_if<SoftDeadlineTimer>(&*timer)) {
       SearchRun* search = FindSearch(soft->request);
-      if (search != nullptr && search->AnsweredParts() > 0) {
-        Finish(now, *search);
+      if (search != nullptr) {
+        search->overdue = true;
+        AfterChange(now, *search);
       }
     } else if (const auto* give_up = std::get_if<GiveUpTimer>(&*timer)) {
       GiveUp(now, give_up->request);
@@ -135,6 +195,7 @@
   if (now - pruned_at_ > kPruneInterval) {
     view_.Prune(now);
     poison_.Prune(now);
+    PruneGroups(now);
     pruned_at_ = now;
   }
   // Pauses of targets end without an event.
@@ -187,7 +248,8 @@
                                  const AttemptOutcome& outcome,
                                  Duration latency) {
   if (TargetStats* stats = selector_.Stats(target)) {
-    stats->OnFinish(now, outcome, latency, EnsureGroup(name).policy);
+    const GroupState& group = EnsureGroup(name);
+    stats->OnFinish(now, outcome, latency, group.Reference(), group.policy);
   }
   if (const Announcement* known = view_.Usable(now, target)) {
     MarkReady(*known);
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "snipeworks/extra_budget.h"
 #include "snipeworks/group_state.h"
 #include "snipeworks/part_queue.h"
 #include "snipeworks/random.h"
@@ -58,7 +59,8 @@
   std::size_t part_index = 0;
   AttemptKind kind = AttemptKind::kPrimary;
   std::string target;
-  std::string group;
+  std::string group;         ///< Whose latencies it belongs to.
+  std::string target_group;  ///< Whose budget it draws on.
   SnapshotId snapshot;
   Fingerprint fingerprint = 0;
   bool sole = false;  ///< The only part of its request that was running.
@@ -83,6 +85,7 @@
  public:
   explicit SearchEngine(SearchControllerConfig config);
 
+  void SetFleetHosts(std::uint32_t hosts);
   void ApplySettings(const FleetSettings& settings);
   AnnounceResult Announce(Instant now, const Announcement& news, Duration age);
   void Submit(Instant now, const SearchRequest& request);
@@ -110,6 +113,7 @@
   PoisonTracker& poison() { return poison_; }
   const TargetView& view() const { return view_; }
   const ReplicaSelector& selector() const { return selector_; }
+  ReplicaSelector& selector() { return selector_; }
   std::size_t running() const { return searches_.size(); }
   std::size_t waiting() const { return queue_.size(); }
 
@@ -119,6 +123,14 @@
   GroupState* FindGroup(const std::string& name);
   SearchRun* FindSearch(RequestId id);
   void MarkReady(const Announcement& target);
+  void PruneGroups(Instant now);
+  /// What this host may spend of the extra attempts on one group's targets.
+  ExtraBudgetLimits ExtraLimits(const GroupPolicy& policy) const;
+  bool TakeExtra(Instant now,
+                 const GroupPolicy& policy,
+                 const std::string& group,
+                 double reserve);
+  std::optional<Duration> HedgeDelay(Instant now, const AttemptRun& run);
 
   // The way of a search.
   void AddDeadlines(const SearchRun& search);
@@ -138,6 +150,7 @@
                 AttemptKind kind,
                 const Announcement& target);
   void AfterChange(Instant now, SearchRun& search);
+  bool MayTryAgain(const SearchRun& search, const PartRun& part) const;
   void MissPart(SearchRun& search,
                 std::size_t part_index,
                 MissingReason reason);
@@ -155,6 +168,7 @@
   void TakeRefusal(SearchRun& search,
                    const AttemptRun& run,
                    AttemptStatus status);
+  void TakeWrongTarget(Instant now, const AttemptRun& run);
   void TakeFailure(Instant now,
                    SearchRun& search,
                    const AttemptRun& run,
@@ -179,6 +193,7 @@
   FilterChain<SyntaxFilter, SnapshotFilter, QuarantineFilter, AdmissionFilter>
       filters_;
   std::map<std::string, GroupState> groups_;
+  std::map<std::string, ExtraBudget> extra_budgets_;
   std::unordered_map<RequestId, SearchRun> searches_;
   std::unordered_map<AttemptId, AttemptRun> attempts_;
   std::map<Fingerprint, CanaryLine> canaries_;
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -204,6 +204,7 @@
                    part_index,
                    kind,
                    target.target,
+                   search.request().group,
                    target.group,
                    search.snapshot().id(),
                    search.fingerprint(),
@@ -214,13 +215,13 @@
   part.started = true;
   part.running.push_back(id);
   part.tried.push_back(target.target);
+  ++part.unproved;
   selector_.Stats(target.target)->OnStart();
   group.OnDispatch(now, search.request().request_class);
   switch (kind) {
     case AttemptKind::kPrimary:
       ++search.attempts.primary;
-      group.extra_attempts.OnPrimary(
-          static_cast<double>(group.policy.extra_attempts_percent));
+      extra_budgets_[target.group].OnPrimary(now);
       break;
     case AttemptKind::kHedge:
       ++search.attempts.hedge;
@@ -243,14 +244,20 @@
   command.snapshot = search.snapshot().id();
   command.part = search.NumberOf(part_index);
   command.query = search.query();
+  command.forwarded = search.request().forwarded;
+  command.repeatable = search.request().repeatable;
   command.budget = search.deadline() - now;
   command.fresh_connection = sole && !search.lost_targets.empty();
   command.trace_parent = search.request().trace_parent;
   actions_.emplace_back(StartAttempt{std::move(command)});
-  if (auto delay = group.HedgeDelay(now)) {
-    timers_.Add(now + *delay, HedgeTimer{id});
+  if (search.request().repeatable) {
+    if (auto delay = HedgeDelay(now, attempts_.at(id))) {
+      timers_.Add(now + *delay, HedgeTimer{id});
+    }
+  }
+  if (search.policy().probe_silent != 0) {
+    timers_.Add(now + group.ProbeDelay(), ProbeTimer{id});
   }
-  timers_.Add(now + group.ProbeDelay(), ProbeTimer{id});
 }
 
 void SearchEngine::MissPart(SearchRun& search,
@@ -270,11 +277,27 @@
     }
     return;
   }
-  if (search.phase == SearchPhase::kFanOut && search.Settled()) {
+  if (search.phase != SearchPhase::kFanOut) {
+    return;
+  }
+  const bool enough =
+      search.overdue && search.AnsweredParts() >= search.NeededParts();
+  if (enough || search.OutOfReach() || search.Settled()) {
     Finish(now, search);
   }
 }
 
+// True if another target may run the part: the request may run more than once,
+// or nothing has run it, and its limit is not reached.
+bool SearchEngine::MayTryAgain(const SearchRun& search,
+                               const PartRun& part) const {
+  if (!search.request().repeatable) {
+    return part.unproved == 0;
+  }
+  const std::int64_t most = search.policy().max_attempts;
+  return most == 0 || part.unproved < most;
+}
+
 // Starts over on another snapshot, once, if the pinned one is gone.
 bool SearchEngine::Replan(Instant now, SearchRun& search) {
   GroupState& group = EnsureGroup(search.request().group);
@@ -300,32 +323,47 @@
 }
 
 void SearchEngine::Finish(Instant now, SearchRun& search) {
-  if (search.AnsweredParts() > 0) {
-    actions_.emplace_back(FinishSearch{search.request().id, search.Answer()});
+  if (search.AnsweredParts() >= search.NeededParts()) {
+    actions_.emplace_back(
+        FinishSearch{search.request().id, search.Answer(), nullptr});
     Remove(now, search);
     return;
   }
   Error error;
   error.retry_after = kFailedRetryAfter;
-  if (!search.Started()) {
+  if (!search.MayHaveRun()) {
     const bool waited =
+        search.Started() ||
         std::ranges::any_of(search.parts(), [](const PartRun& part) {
           return part.status != PartStatus::kMissing ||
                  part.reason == MissingReason::kLate;
         });
     error.kind = waited ? ErrorKind::kOverloaded : ErrorKind::kNoTarget;
-    error.detail = "no part was sent to a target";
+    error.detail = search.Started() ? "no target took the request"
+                                    : "no part was sent to a target";
   } else {
-    error.kind =
-        search.Settled() ? ErrorKind::kTargetsFailed : ErrorKind::kDeadline;
-    error.detail = "no part was answered";
+    const bool too_late =
+        !search.OutOfReach() ||
+        std::ranges::any_of(search.parts(), [](const PartRun& part) {
+          return part.status == PartStatus::kMissing &&
+                 part.reason == MissingReason::kLate;
+        });
+    error.kind = too_late ? ErrorKind::kDeadline : ErrorKind::kTargetsFailed;
+    error.detail = std::to_string(search.AnsweredParts()) + " of " +
+                   std::to_string(search.parts().size()) +
+                   " parts were answered, " +
+                   std::to_string(search.NeededParts()) + " are needed";
+    if (!search.request().repeatable && !search.failure &&
+        error.kind == ErrorKind::kTargetsFailed) {
+      error.kind = ErrorKind::kOutcomeUnknown;
+    }
   }
   FinishWith(now, search, std::move(error));
 }
 
 void SearchEngine::FinishWith(Instant now, SearchRun& search, Error error) {
-  actions_.emplace_back(
-      FinishSearch{search.request().id, tl::unexpected(std::move(error))});
+  actions_.emplace_back(FinishSearch{
+      search.request().id, tl::unexpected(std::move(error)), search.failure});
   Remove(now, search);
 }
 
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -23,7 +23,7 @@
   const Duration latency = now - run.started;
   GroupState& group = EnsureGroup(run.group);
   if (TargetStats* stats = selector_.Stats(run.target)) {
-    stats->OnFinish(now, outcome, latency, group.policy);
+    stats->OnFinish(now, outcome, latency, group.Reference(), group.policy);
   }
   if (outcome.status == AttemptStatus::kAnswered ||
       outcome.status == AttemptStatus::kCancelled) {
@@ -32,6 +32,13 @@
   if (outcome.status == AttemptStatus::kShed) {
     group.OnShed(now);
   }
+  if (outcome.status == AttemptStatus::kWrongTarget) {
+    TakeWrongTarget(now, run);
+  }
+  if (outcome.status == AttemptStatus::kNotSent &&
+      run.kind != AttemptKind::kPrimary) {
+    extra_budgets_[run.target_group].GiveBack(now);
+  }
   if (const Announcement* target = view_.Usable(now, run.target)) {
     MarkReady(*target);
   }
@@ -48,6 +55,12 @@
     Pump(now);
     return;
   }
+  if (ProvesNotRun(outcome.status)) {
+    --part->unproved;
+  }
+  if (outcome.answer && outcome.status != AttemptStatus::kAnswered) {
+    search->failure = outcome.answer;
+  }
   if (outcome.status == AttemptStatus::kAnswered) {
     TakeAnswer(now, *search, run, outcome);
   } else if (ProvesNotRun(outcome.status) &&
@@ -80,6 +93,7 @@
   part.status = PartStatus::kAnswered;
   part.documents = std::min(outcome.documents, in_manifest);
   part.hits = outcome.hits;
+  part.answer = outcome.answer;
   CancelPart(part);
   if (search.phase == SearchPhase::kCanary ||
       search.phase == SearchPhase::kAskingPeers) {
@@ -88,6 +102,15 @@
   }
 }
 
+// Whoever has the address now, the target is not there any more.
+void SearchEngine::TakeWrongTarget(Instant now, const AttemptRun& run) {
+  if (const Announcement* known = view_.Find(run.target)) {
+    Announcement gone = *known;
+    gone.state = TargetState::kGone;
+    Announce(now, gone, {});
+  }
+}
+
 // The target proved that it did not run the part: another may, at no extra
 // load.
 void SearchEngine::TakeRefusal(SearchRun& search,
@@ -119,7 +142,8 @@
                              part.tried,
                              {},
                              search.policy()}) > 0;
-  if (replica_left && group.extra_attempts.TryTake()) {
+  if (replica_left && MayTryAgain(search, part) &&
+      TakeExtra(now, group.policy, run.target_group, 0.0)) {
     Enqueue(search, run.part_index, AttemptKind::kRetry);
     return;
   }
@@ -145,6 +169,7 @@
     }
     actions_.emplace_back(CancelAttempt{id, run.target});
     std::erase(part.tried, run.target);
+    --part.unproved;
     TakeRefusal(*search, run, AttemptStatus::kSilent);
   }
   Pump(now);
@@ -160,12 +185,16 @@
   if (search == nullptr) {
     return;
   }
+  if (TargetStats* stats = selector_.Stats(run.target)) {
+    stats->OnSlow(now);
+  }
   PartRun& part = search->parts()[run.part_index];
   GroupState& group = EnsureGroup(run.group);
   const bool wanted =
       part.status == PartStatus::kRunning && !part.hedged &&
       std::ranges::find(part.running, id) != part.running.end() &&
-      search->lost_targets.empty() && group.HedgeDelay(now);
+      search->lost_targets.empty() && MayTryAgain(*search, part) &&
+      HedgeDelay(now, run);
   if (!wanted) {
     return;
   }
@@ -173,7 +202,7 @@
       selector_.Choose({now, search->ReplicasOf(run.part_index), part.tried,
                         group.Reference(), search->policy()});
   if (choice.state != ReplicaChoice::State::kChosen ||
-      !group.extra_attempts.TryTake(kRetryReserve)) {
+      !TakeExtra(now, group.policy, run.target_group, kRetryReserve)) {
     return;
   }
   part.hedged = true;
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -34,12 +34,12 @@
 void SearchEngine::TakeLoss(Instant now,
                             SearchRun& search,
                             const AttemptRun& run) {
-  search.lost_targets.push_back(run.target);
   search.parts()[run.part_index].reason = MissingReason::kFailed;
   if (search.policy().canary_rule() == Canary::kOff) {
     TakeFailure(now, search, run, AttemptStatus::kLost);
     return;
   }
+  search.lost_targets.push_back(run.target);
   if (run.sole) {
     CountBroken(now, &search, run);
     return;
--- a/src/libsnipeworks/search_run.cpp
+++ b/src/libsnipeworks/search_run.cpp
@@ -5,6 +5,24 @@
 
 namespace snipeworks {
 
+std::size_t NeededParts(const GroupPolicy& policy, std::size_t parts) {
+  constexpr std::size_t kWhole = 1000;
+  const std::size_t share =
+      parts * static_cast<std::size_t>(policy.min_coverage_permille);
+  return std::max<std::size_t>(1, (share + kWhole - 1) / kWhole);
+}
+
+// With a plan, requests of all routes wait in one line for a group's targets.
+PartKey KeyOf(const SearchRequest& request,
+              const PinnedSnapshot& snapshot,
+              std::size_t part_index) {
+  if (!snapshot.groups.empty()) {
+    return {snapshot.groups[part_index], {}, 0};
+  }
+  return {request.group, snapshot.id(),
+          snapshot.manifest.parts[part_index].part};
+}
+
 SearchRun::SearchRun(SearchRequest request,
                      GroupPolicy policy,
                      Instant started,
@@ -32,7 +50,7 @@
 }
 
 PartKey SearchRun::KeyOf(std::size_t part_index) const {
-  return {request_.group, snapshot_->id(), NumberOf(part_index)};
+  return snipeworks::KeyOf(request_, *snapshot_, part_index);
 }
 
 PartNumber SearchRun::NumberOf(std::size_t part_index) const {
@@ -56,6 +74,21 @@
       std::ranges::count(parts_, PartStatus::kAnswered, &PartRun::status));
 }
 
+std::size_t SearchRun::NeededParts() const {
+  return snipeworks::NeededParts(policy_, parts_.size());
+}
+
+bool SearchRun::OutOfReach() const {
+  const auto missing = static_cast<std::size_t>(
+      std::ranges::count(parts_, PartStatus::kMissing, &PartRun::status));
+  return parts_.size() - missing < NeededParts();
+}
+
+bool SearchRun::MayHaveRun() const {
+  return std::ranges::any_of(
+      parts_, [](const PartRun& part) { return part.unproved > 0; });
+}
+
 bool SearchRun::Started() const {
   return std::ranges::any_of(parts_, &PartRun::started);
 }
@@ -77,6 +110,9 @@
     ++coverage.parts_answered;
     coverage.documents_answered += part.documents;
     answer.hits.insert(answer.hits.end(), part.hits.begin(), part.hits.end());
+    if (part.answer) {
+      answer.answers.push_back(part.answer);
+    }
   }
   std::ranges::sort(answer.hits, [](const Hit& a, const Hit& b) {
     return std::tie(b.score, a.document) < std::tie(a.score, b.document);
--- a/src/libsnipeworks/snapshot_catalog.cpp
+++ b/src/libsnipeworks/snapshot_catalog.cpp
@@ -53,6 +53,22 @@
 
 }  // namespace
 
+std::shared_ptr<const PinnedSnapshot> SnapshotOf(const SearchPlan& plan,
+                                                 Instant now,
+                                                 const TargetView& view) {
+  auto snapshot = std::make_shared<PinnedSnapshot>();
+  snapshot->manifest.id = {plan.version, plan.name};
+  snapshot->groups = plan.groups;
+  for (std::size_t i = 0; i < plan.groups.size(); ++i) {
+    snapshot->manifest.parts.push_back({static_cast<PartNumber>(i), 1});
+    std::vector<std::string>& holders = snapshot->replicas.emplace_back();
+    for (const Announcement* target : view.UsableInGroup(now, plan.groups[i])) {
+      holders.push_back(target->target);
+    }
+  }
+  return snapshot;
+}
+
 std::shared_ptr<const PinnedSnapshot> ChooseSnapshot(
     const std::vector<const Announcement*>& targets) {
   // Keyed by the whole manifest: two manifests under one id are kept apart too.
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -9,10 +9,21 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kLatencyWeight = 0.2;
+constexpr double kSlownessWeight = 0.2;
+constexpr double kFailureWeight = 0.2;
 // An observation loses half its say in this time.
 constexpr Duration kObservationHalfLife = milliseconds(2000);
 constexpr Duration kReportHalfLife = milliseconds(500);
+// What an answer tells of the target's load is fresh, and soon out of date.
+constexpr Duration kAnswerHalfLife = milliseconds(100);
+// Pauses of targets are of about this length.
+constexpr Duration kStallMemory = milliseconds(250);
+constexpr double kStallPenalty = 4.0;
+constexpr double kFailurePenalty = 4.0;
+constexpr double kColdPenalty = 1.5;
+// A target slows down a little before all of its slots are taken.
+constexpr double kLoadSlope = 0.3;
+constexpr double kMaxSlowness = 50.0;
 // Reports may lag or mislead, so they move the score by at most this share.
 constexpr double kReportWeight = 0.1;
 constexpr int kFailuresToEject = 3;
@@ -40,7 +51,11 @@
 
 void TargetStats::Reset(Instant now) {
   first_seen_ = now;
-  latency_us_ = 0.0;
+  slowness_ = 1.0;
+  slowness_at_ = now;
+  failure_share_ = 0.0;
+  busy_ = 0.0;
+  stalled_until_ = Instant{};
   failures_in_row_ = 0;
   ejections_ = 0;
   ejected_until_ = Instant{};
@@ -54,6 +69,7 @@
   share_ = share;
   reported_queue_ = announcement.queued;
   reported_at_ = now;
+  cold_until_ = now + milliseconds(announcement.cold_ms);
   if (announcement.incarnation != incarnation_) {
     incarnation_ = announcement.incarnation;
     Reset(now);
@@ -61,10 +77,8 @@
   }
 }
 
-// One connection of the share is kept for probes and cancellations.
 double TargetStats::MaxLimit() const {
-  const std::uint32_t usable = share_ > 1 ? share_ - 1 : 1;
-  return std::max(1.0, static_cast<double>(std::min(slots_, usable)));
+  return std::max(1.0, static_cast<double>(std::min(slots_, share_)));
 }
 
 void TargetStats::OnStart() {
@@ -74,32 +88,42 @@
 void TargetStats::OnFinish(Instant now,
                            const AttemptOutcome& outcome,
                            Duration latency,
+                           Duration usual,
                            const GroupPolicy& policy) {
   in_flight_ = std::max(0, in_flight_ - 1);
+  if (outcome.load) {
+    busy_ = static_cast<double>(outcome.load->running + outcome.load->waiting);
+    busy_at_ = now;
+  }
+  const double slowness =
+      static_cast<double>(latency.count()) /
+      static_cast<double>(std::max<std::int64_t>(1, usual.count()));
   switch (outcome.status) {
     case AttemptStatus::kAnswered:
-      latency_at_ = now;
+      Observe(now, slowness);
+      ObserveFailure(now, false);
       OnHealthy(outcome, latency);
       return;
     case AttemptStatus::kShed:
+      ObserveFailure(now, true);
       limit_ = std::max(1.0, limit_ * kLimitCutOnShed);
       shed_until_ = now + outcome.retry_after;
       return;
     case AttemptStatus::kNotSent:
+    case AttemptStatus::kWrongTarget:
       Eject(now, policy);
       return;
     case AttemptStatus::kLost:
     case AttemptStatus::kFailed:
+      ObserveFailure(now, true);
       if (++failures_in_row_ >= kFailuresToEject) {
         Eject(now, policy);
       }
       return;
     case AttemptStatus::kCancelled:
       // The loser of a hedge was at least this slow.
-      if (static_cast<double>(latency.count()) > latency_us_) {
-        latency_at_ = now;
-        latency_us_ += kLatencyWeight *
-                       (static_cast<double>(latency.count()) - latency_us_);
+      if (slowness > slowness_) {
+        Observe(now, slowness);
       }
       return;
     case AttemptStatus::kDraining:
@@ -109,11 +133,28 @@
   }
 }
 
+// What was seen fades with time, so an old mean starts from the usual again.
+void TargetStats::Observe(Instant now, double slowness) {
+  const double trust = Fade(now - slowness_at_, kObservationHalfLife);
+  const double mean = 1.0 + trust * (slowness_ - 1.0);
+  slowness_ =
+      mean + kSlownessWeight * (std::min(slowness, kMaxSlowness) - mean);
+  slowness_at_ = now;
+}
+
+void TargetStats::ObserveFailure(Instant now, bool failed) {
+  const double mean =
+      failure_share_ * Fade(now - failure_at_, kObservationHalfLife);
+  failure_share_ = mean + kFailureWeight * ((failed ? 1.0 : 0.0) - mean);
+  failure_at_ = now;
+}
+
+void TargetStats::OnSlow(Instant now) {
+  stalled_until_ = now + kStallMemory;
+}
+
 void TargetStats::OnHealthy(const AttemptOutcome& outcome, Duration latency) {
-  const auto sample = static_cast<double>(latency.count());
-  latency_us_ = latency_us_ == 0.0
-                    ? sample
-                    : latency_us_ + kLatencyWeight * (sample - latency_us_);
+  stalled_until_ = Instant{};
   failures_in_row_ = 0;
   ejections_ = 0;
   const bool queued = outcome.queue_time * 2 > latency;
@@ -137,26 +178,43 @@
              std::max(1, static_cast<int>(std::min(limit_, MaxLimit())));
 }
 
+// Own attempts are known exactly; what others have there is told by answers.
+double TargetStats::Busy(Instant now) const {
+  const double told = busy_ * Fade(now - busy_at_, kAnswerHalfLife);
+  return std::max(static_cast<double>(in_flight_), told);
+}
+
 double TargetStats::Score(Instant now,
                           Duration reference,
                           const GroupPolicy& policy) const {
   const auto usual =
       static_cast<double>(std::max<std::int64_t>(1, reference.count()));
-  const double trust =
-      latency_us_ == 0.0 ? 0.0 : Fade(now - latency_at_, kObservationHalfLife);
-  const double latency = trust * latency_us_ + (1.0 - trust) * usual;
-  const double load = (in_flight_ + 1.0) / static_cast<double>(slots_);
+  const double trust = Fade(now - slowness_at_, kObservationHalfLife);
+  const double latency = usual * (1.0 + trust * (slowness_ - 1.0));
+  const auto slots = static_cast<double>(slots_);
+  const double busy = Busy(now);
+  const double load = 1.0 + kLoadSlope * busy / slots +
+                      std::max(0.0, busy + 1.0 - slots) / slots;
   const double reported =
-      std::min(1.0, static_cast<double>(reported_queue_) / slots_) *
+      std::min(1.0, static_cast<double>(reported_queue_) / slots) *
       Fade(now - reported_at_, kReportHalfLife);
-  double slow_start = 1.0;
+  const double failing =
+      failure_share_ * Fade(now - failure_at_, kObservationHalfLife);
+  double penalty =
+      (1.0 + kReportWeight * reported) * (1.0 + kFailurePenalty * failing);
+  if (now < stalled_until_) {
+    penalty *= kStallPenalty;
+  }
+  if (now < cold_until_) {
+    penalty *= kColdPenalty;
+  }
   const auto age = std::chrono::duration<double>(now - first_seen_).count();
   const auto warm_up =
       std::chrono::duration<double>(milliseconds(policy.slow_start_ms)).count();
   if (age < warm_up) {
-    slow_start = std::min(kMaxSlowStartPenalty, warm_up / std::max(age, 0.001));
+    penalty *= std::min(kMaxSlowStartPenalty, warm_up / std::max(age, 0.001));
   }
-  return latency * load * (1.0 + kReportWeight * reported) * slow_start;
+  return latency * load * penalty;
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -54,7 +54,7 @@
       record.digest != 0 && WithoutRenewal(before) == WithoutRenewal(news);
   record.announcement = news;
   record.heard_at = heard_at;
-  if (drained_before) {
+  if (drained_before && news.state == TargetState::kServing) {
     record.announcement.state = TargetState::kDraining;
   }
   if (!renewal) {
