Tell a reset from the end of an answer without a length

Ruled out: the parser, which needs the end of the stream. Change: the end of such an answer is checked by peeking at the socket.

--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -76,13 +76,13 @@
 struct SearchControllerConfig {
   std::string host;               ///< This entry host's name.
   std::uint32_t fleet_hosts = 1;  ///< Entry hosts that share the targets.
+  std::uint64_t seed = 1;
   /// Of a host's share of a target's connections, kept for probes and
   /// cancellations.
   std::uint32_t spare_connections = 1;
   std::string zone;  ///< Targets here are preferred.
   /// False if only news can end a target's membership, not silence.
   bool leases = true;
-  std::uint64_t seed = 1;
 };
 
 class SearchEngine;
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -466,10 +466,22 @@
     }
   }
 
+  // libuv tells the end of a stream when the other side hangs up, also if it
+  // did so with a reset.
+  static bool WasReset(const Connection& connection) {
+    uv_os_fd_t socket = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&connection.handle),
+                  &socket) != 0) {
+      return true;
+    }
+    char byte = 0;
+    return recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
+  }
+
   // An answer without a length ends with its connection, if that was closed in
   // order.
   void OnEnd(Connection& connection, bool in_order) {
-    if (connection.transfer == nullptr || !in_order) {
+    if (connection.transfer == nullptr || !in_order || WasReset(connection)) {
       Fail(connection);
       return;
     }
