--- /dev/null
+++ b/src/libsnipeworks/event_log_test.cpp
@@ -0,0 +1,84 @@
+#include "snipeworks/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace snipeworks {
+namespace {
+
+class EventLogs : public ::testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(pipe(ends), 0); }
+  void TearDown() override {
+    close(ends[0]);
+    close(ends[1]);
+  }
+
+  std::string Read() {
+    std::string text(1 << 20, '\0');
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    const ssize_t size = read(ends[0], text.data(), text.size());
+    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return text;
+  }
+
+  int ends[2] = {-1, -1};
+};
+
+TEST_F(EventLogs, WriteOneJsonObjectALine) {
+  EventLog log(ends[1], "host-1");
+  log.Write(EventKind::kRequest,
+            {{"request", "a\"b\xff"}, {"status", 200}, {"ok", true}});
+  log.Flush();
+  const std::string text = Read();
+  ASSERT_TRUE(text.ends_with("}\n"));
+  const auto line = nlohmann::json::parse(text);
+  EXPECT_EQ(line["event"], "request");
+  EXPECT_EQ(line["host"], "host-1");
+  EXPECT_EQ(line["status"], 200);
+  EXPECT_EQ(line["ok"], true);
+}
+
+TEST_F(EventLogs, LeaveOutAndCountWhatIsTooMuchForASecond) {
+  EventLog log(ends[1], "h", {.lines_per_second = 10});
+  for (int i = 0; i < 50; ++i) {
+    log.Write(EventKind::kAttempt, {});
+  }
+  EXPECT_LE(log.lines(), 21U);  // Two seconds, if one ends meanwhile.
+  EXPECT_GE(log.dropped(), 29U);
+  log.Write(EventKind::kStopped, {});
+  log.Flush();
+  EXPECT_NE(Read().find("\"stopped\""), std::string::npos);
+}
+
+// Nobody reads the other end: writing neither blocks nor grows.
+TEST_F(EventLogs, NeverWaitForTheirReader) {
+  EventLog log(ends[1], "h",
+               {.lines_per_second = 1000000, .buffer_bytes = 10000});
+  for (int i = 0; i < 20000; ++i) {
+    log.Write(EventKind::kAttempt, {{"text", "some text of a usual length"}});
+    log.Flush();
+  }
+  EXPECT_GT(log.dropped(), 10000U);
+}
+
+TEST(EventTables, NameEachEventOnce) {
+  std::set<std::string_view> names;
+  std::size_t index = 0;
+  for (const EventRow& row : EventTable()) {
+    EXPECT_EQ(static_cast<std::size_t>(row.kind), index++);
+    EXPECT_TRUE(names.insert(row.name).second) << row.name;
+    EXPECT_FALSE(row.brief.empty());
+  }
+}
+
+}  // namespace
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -0,0 +1,216 @@
+#include "snipeworks/http_listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "test_sockets_test.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A listener that answers as `answer` says, on a loop in this thread; `caller`
+// runs in another and the loop ends with it.
+class ListenerFixture : public ::testing::Test {
+ protected:
+  void Play(const ListenerLimits& limits,
+            const std::function<void(std::uint16_t port)>& caller) {
+    EventLoop loop;
+    const std::uint16_t port = FreePort();
+    auto started =
+        HttpListener::Start(loop, {"127.0.0.1", port}, limits,
+                            {[&](ExchangeId id, HttpRequest request) {
+                               targets.push_back(request.target);
+                               requests.push_back(std::move(request));
+                               if (hold) {
+                                 held.push_back(id);
+                                 return;
+                               }
+                               listener->Answer(id, answer);
+                             },
+                             [&](ExchangeId id) { gone.push_back(id); }});
+    ASSERT_TRUE(started) << started.error().detail;
+    listener = std::move(*started);
+    std::thread thread([&] {
+      caller(port);
+      loop.Post([&] {
+        listener.reset();
+        loop.Stop();
+      });
+    });
+    loop.Run();
+    thread.join();
+  }
+
+  std::unique_ptr<HttpListener> listener;
+  HttpResponse answer{200, "text/plain", "hello"};
+  bool hold = false;
+  std::vector<ExchangeId> held;
+  std::vector<ExchangeId> gone;
+  std::vector<std::string> targets;
+  std::vector<HttpRequest> requests;
+};
+
+class Listeners : public ListenerFixture {};
+
+TEST_F(Listeners, AnswerRequestsOneAfterTheOther) {
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send("GET /a?x=1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(caller.ReadUntil("hello").find("200 OK"), std::string::npos);
+    caller.Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(caller.ReadUntil("hello").find("200 OK"), std::string::npos);
+  });
+  EXPECT_EQ(targets, (std::vector<std::string>{"/a?x=1", "/b"}));
+  EXPECT_EQ(requests[0].path, "/a");
+}
+
+TEST_F(Listeners, AnswerPipelinedRequestsInOrder) {
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send(
+        "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+        "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < 3; ++i) {
+      caller.ReadUntil("hello");
+    }
+  });
+  EXPECT_EQ(targets, (std::vector<std::string>{"/1", "/2", "/3"}));
+  EXPECT_EQ(requests[0].body, "abc");
+  EXPECT_EQ(requests[1].body, "");
+}
+
+TEST_F(Listeners, TakeRequestsInPiecesAndInChunks) {
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    for (const char* piece :
+         {"PO", "ST /x HTTP/1.1\r\nHo", "st: h\r\nTransfer-Encoding: chu",
+          "nked\r\n\r\n2\r\nab\r", "\n1\r\nc\r\n0\r\n", "\r\n"}) {
+      caller.Send(piece);
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    caller.ReadUntil("hello");
+  });
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_EQ(requests[0].body, "abc");
+  EXPECT_EQ(requests[0].Header("host"), "h");
+}
+
+// Two lengths would let one server see a request where another sees a body.
+TEST_F(Listeners, RefuseRequestsWithTwoLengths) {
+  Play({}, [](std::uint16_t port) {
+    for (const char* lengths :
+         {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 3\r\nContent-Length: 4\r\n"}) {
+      Socket caller(port);
+      caller.Send("POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(lengths) +
+                  "\r\nabc");
+      EXPECT_NE(caller.ReadAll().find("400 Bad Request"), std::string::npos);
+    }
+  });
+  EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(Listeners, KeepToTheirLimits) {
+  ListenerLimits limits;
+  limits.max_body_bytes = 10;
+  limits.max_header_bytes = 200;
+  limits.header_timeout = milliseconds(100);
+  limits.idle_timeout = milliseconds(100);
+  Play(limits, [](std::uint16_t port) {
+    Socket body(port);
+    body.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+    EXPECT_NE(body.ReadAll().find(" 413 "), std::string::npos);
+    Socket chunks(port);
+    chunks.Send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "b\r\nabcdefghijk\r\n");
+    EXPECT_NE(chunks.ReadAll().find(" 413 "), std::string::npos);
+    Socket headers(port);
+    headers.Send("GET /x HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x'));
+    EXPECT_NE(headers.ReadAll().find(" 431 "), std::string::npos);
+    Socket slow(port);
+    slow.Send("GET /x HTTP/1.1\r\n");
+    EXPECT_NE(slow.ReadAll().find(" 408 "), std::string::npos);
+    Socket idle(port);
+    EXPECT_EQ(idle.ReadAll(), "");
+  });
+  EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(Listeners, TellWhenACallerLeaves) {
+  hold = true;
+  Play({}, [](std::uint16_t port) {
+    {
+      Socket caller(port);
+      caller.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+      std::this_thread::sleep_for(milliseconds(30));
+    }
+    std::this_thread::sleep_for(milliseconds(30));
+  });
+  EXPECT_EQ(gone, held);
+  EXPECT_EQ(gone.size(), 1U);
+}
+
+TEST_F(Listeners, SendNoBodyToHead) {
+  answer.declared_length = 99;
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send("HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const std::string text = caller.ReadAll();
+    EXPECT_NE(text.find("Content-Length: 99\r\n"), std::string::npos);
+    EXPECT_EQ(text.find("hello"), std::string::npos);
+  });
+}
+
+TEST_F(Listeners, AskForABodyThatWaitsForThem) {
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Expect: 100-continue\r\n\r\n");
+    EXPECT_NE(caller.ReadUntil("\r\n\r\n").find("100 Continue"),
+              std::string::npos);
+    caller.Send("abc");
+    caller.ReadUntil("hello");
+  });
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_EQ(requests[0].body, "abc");
+}
+
+// A caller that has sent more than was read must still get its last answer.
+TEST_F(Listeners, DeliverTheLastAnswerBeforeTheyClose) {
+  answer.close = true;
+  answer.body = std::string(100000, 'x') + "end";
+  Play({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(5000, 'y'));
+    EXPECT_TRUE(caller.ReadAll().ends_with("end"));
+  });
+}
+
+TEST_F(Listeners, CloseIdleConnectionsWhenTheyStopAccepting) {
+  Play({}, [&](std::uint16_t port) {
+    Socket idle(port);
+    idle.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    idle.ReadUntil("hello");
+    // The fixture ends the loop only after this thread, so the listener lives.
+    std::this_thread::sleep_for(milliseconds(10));
+  });
+  EXPECT_EQ(requests.size(), 1U);
+}
+
+}  // namespace
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/routing_test.cpp
@@ -0,0 +1,157 @@
+#include "snipeworks/routing.h"
+
+#include <gtest/gtest.h>
+
+#include "snipeworks/control_calls.h"
+#include "snipeworks/forward_plan.h"
+#include "snipeworks/record_merge.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kDocument[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "all", "host": "Search.example", "path_prefix": "/",
+     "kind": "repeatable", "timeout_ms": 1000, "objective_ms": 100, "rank": 1,
+     "shards": ["a", "b", "c"], "max_attempts": 2, "top_records": 5,
+     "min_shard_share": 0.5},
+    {"name": "orders", "host": "search.example", "path_prefix": "/orders/",
+     "kind": "once", "timeout_ms": 500, "group": "a"},
+    {"name": "split", "host": "search.example", "path_prefix": "/orders/new/",
+     "kind": "repeatable", "timeout_ms": 500,
+     "weighted_groups": [{"group": "a", "weight": 3}, {"group": "b"}]}
+  ],
+  "groups": [{"name": "a", "max_connections": 9}, {"name": "b"}, {"name": "c"}],
+  "limits": {"max_body_bytes": 10, "idle_timeout_ms": 15000},
+  "later": "fields that are not known do no harm"
+})";
+
+Routing ParsedDocument() {
+  auto routing = ParseRouting(kDocument, RoutingNames());
+  EXPECT_TRUE(routing) << routing.error().detail;
+  return *routing;
+}
+
+// The document with one piece of its text replaced.
+std::string With(const std::string& piece, const std::string& by) {
+  std::string text = kDocument;
+  const auto at = text.find(piece);
+  EXPECT_NE(at, std::string::npos) << piece;
+  return text.replace(at, piece.size(), by);
+}
+
+TEST(RoutingDocuments, AreReadWhole) {
+  const Routing routing = ParsedDocument();
+  EXPECT_EQ(routing.version, 7U);
+  ASSERT_EQ(routing.routes.size(), 3U);
+  EXPECT_TRUE(routing.routes[0].repeatable);
+  EXPECT_FALSE(routing.routes[1].repeatable);
+  EXPECT_EQ(routing.routes[0].shards.size(), 3U);
+  EXPECT_EQ(routing.routes[2].groups,
+            (std::vector<WeightedGroup>{{"a", 3}, {"b", 1}}));
+  EXPECT_EQ(routing.groups[0].max_connections, 9U);
+  EXPECT_EQ(routing.limits.idle_timeout_ms, 15000);
+  EXPECT_EQ(Decode<Routing>(Encode(routing)), routing);
+}
+
+TEST(RoutingDocuments, AreRefusedForWhatNoVersionMayHave) {
+  for (const std::string& bad :
+       {std::string(kDocument).substr(0, 300), std::string("[]"),
+        std::string("\xff\xfe"), With("\"version\": 7,", ""),
+        With("\"version\": 7", "\"version\": \"7\""),
+        With("\"group\": \"a\"}", "\"group\": \"none\"}"),
+        With("\"b\", \"c\"]", "\"b\", \"none\"]"),
+        With("\"/orders/new/\"", "\"/orders/\""),
+        With("\"weight\": 3}, {\"group\": \"b\"}", "\"weight\": 0}"),
+        With("\"timeout_ms\": 1000", "\"timeout_ms\": 0")}) {
+    EXPECT_FALSE(ParseRouting(bad, RoutingNames())) << bad;
+  }
+}
+
+TEST(RouteTables, FindTheLongestPrefix) {
+  const RouteTable table(ParsedDocument());
+  EXPECT_EQ(table.Find("search.example", "/x")->name, "all");
+  EXPECT_EQ(table.Find("SEARCH.example:80", "/orders/7")->name, "orders");
+  EXPECT_EQ(table.Find("search.example", "/orders/new/7")->name, "split");
+  EXPECT_EQ(table.Find("search.example", "/orders")->name, "all");
+  EXPECT_EQ(table.Find("other.example", "/x"), nullptr);
+}
+
+TEST(ControlCalls, AreToldApartByMethodAndPath) {
+  const ControlNames names;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/v1/targets/t-1/report";
+  request.body = R"({"group":"a","address":"10.0.0.1:80","zone":"z","slots":2,
+    "state":"draining","sequence":4,"incarnation":99,"cold_ms":10})";
+  auto report = DecodeControlCall(request, names);
+  ASSERT_TRUE(report);
+  const Announcement& news = std::get<TargetReport>(*report).news;
+  EXPECT_EQ(news.target, "t-1");
+  EXPECT_EQ(news.state, TargetState::kDraining);
+  EXPECT_EQ(news.incarnation, 99U);
+  request.path = "/v1/targets/t-1/leave";
+  request.body.clear();
+  auto leave = DecodeControlCall(request, names);
+  ASSERT_TRUE(leave);
+  EXPECT_EQ(std::get<TargetLeaves>(*leave).target, "t-1");
+  EXPECT_FALSE(std::get<TargetLeaves>(*leave).incarnation);
+  request.path = "/v1/targets/a/b/leave";
+  EXPECT_EQ(DecodeControlCall(request, names).error().kind,
+            ErrorKind::kUnknownPath);
+}
+
+// What another writer sends names no target to use.
+TEST(ControlCalls, RefuseReportsThatCannotBeMeant) {
+  for (const char* body :
+       {"", "{}", "\xff", R"({"group":7,"address":"10.0.0.1:80","zone":"z",
+        "state":"serving","sequence":1})",
+        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"asleep",
+        "sequence":1})",
+        R"({"group":"a","address":"nowhere","zone":"z","state":"serving",
+        "sequence":1})",
+        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"serving"})",
+        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"serving",
+        "sequence":-1})"}) {
+    EXPECT_FALSE(ParseReport("t", body, ReportNames())) << body;
+  }
+}
+
+TEST(Planners, ShareASplitRouteByWeightOverAnyFewRequests) {
+  ForwardPlanner planner({}, milliseconds(10), 1);
+  planner.UseRouting(ParsedDocument());
+  const Route* split = planner.table()->Find("search.example", "/orders/new/1");
+  int to_a = 0;
+  for (int i = 1; i <= 400; ++i) {
+    to_a += planner.Plan(*split)->groups[0] == "a" ? 1 : 0;
+    EXPECT_NEAR(to_a, i * 0.75, 1.5);
+  }
+}
+
+TEST(Planners, AnswerBeforeTheObjectiveWithTheShareThatTheRouteWants) {
+  ForwardPlanner planner({}, milliseconds(15), 1);
+  planner.UseRouting(ParsedDocument());
+  const auto plan = planner.Plan(*planner.table()->Find("search.example", "/"));
+  EXPECT_EQ(plan->version, 7U);
+  EXPECT_EQ(plan->policy.soft_deadline_ms, 85);
+  EXPECT_EQ(plan->policy.min_coverage_permille, 500);
+  EXPECT_EQ(plan->policy.max_attempts, 2);
+  EXPECT_EQ(plan->policy.answer_rule(), AnswerRule::kSoftDeadline);
+}
+
+TEST(Records, TheGreatestOfAllPartsComeFirst) {
+  const std::string low(kRecordBytes, '\x01');
+  const std::string high(kRecordBytes, '\xff');
+  const std::string middle(kRecordBytes, 'm');
+  const std::string first = low + high + "rest";
+  const std::string second = middle + high;
+  EXPECT_EQ(GreatestRecords({first, second}, 3), high + high + middle);
+  EXPECT_EQ(GreatestRecords({first, second}, 10), high + high + middle + low);
+  EXPECT_EQ(GreatestRecords({"short"}, 10), "");
+}
+
+}  // namespace
+}  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/test_sockets_test.h
@@ -0,0 +1,104 @@
+#ifndef SNIPEWORKS_LIBSNIPEWORKS_TEST_SOCKETS_TEST_H_
+#define SNIPEWORKS_LIBSNIPEWORKS_TEST_SOCKETS_TEST_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace snipeworks {
+
+inline sockaddr_in LoopbackAt(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+/// A port on loopback that nobody listens on.
+inline std::uint16_t FreePort() {
+  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = LoopbackAt(0);
+  bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t size = sizeof(address);
+  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+  close(probe);
+  return ntohs(address.sin_port);
+}
+
+/// A blocking connection that gives up reading after two seconds.
+class Socket {
+ public:
+  /// Connects to `port` on loopback.
+  explicit Socket(std::uint16_t port)
+      : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = LoopbackAt(port);
+    connect(descriptor_, reinterpret_cast<const sockaddr*>(&address),
+            sizeof(address));
+    LimitReads();
+  }
+
+  /// Takes over a connection that was accepted.
+  static Socket Accepted(int descriptor) { return Socket(descriptor, true); }
+
+  Socket(Socket&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  ~Socket() {
+    if (descriptor_ >= 0) {
+      close(descriptor_);
+    }
+  }
+
+  void Send(const std::string& bytes) const {
+    send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  /// Reads up to and with `mark`, or to the end.
+  std::string ReadUntil(const std::string& mark) const {
+    std::string text;
+    char byte = 0;
+    while (!text.ends_with(mark) && recv(descriptor_, &byte, 1, 0) == 1) {
+      text += byte;
+    }
+    return text;
+  }
+
+  /// Reads to the end.
+  std::string ReadAll() const {
+    std::string text;
+    char buffer[4096];
+    for (ssize_t got = 0;
+         (got = recv(descriptor_, buffer, sizeof(buffer), 0)) > 0;) {
+      text.append(buffer, static_cast<std::size_t>(got));
+    }
+    return text;
+  }
+
+  /// Closes with a reset.
+  void Reset() {
+    const linger now{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(std::exchange(descriptor_, -1));
+  }
+
+ private:
+  Socket(int descriptor, bool) : descriptor_(descriptor) { LimitReads(); }
+
+  void LimitReads() const {
+    const timeval limit{2, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+
+  int descriptor_;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_LIBSNIPEWORKS_TEST_SOCKETS_TEST_H_
