Send changes of routes from one control host; hedge by shares of the budget

And a fixed reserve of two extra attempts was most of what one of 59 hosts may make, so few hedges went out; one refusal stopped hedges for a second. Change: routes come from the nearest control host as compressed differences, new targets in batches of 200 ms, two control hosts are watched; the reserve is a share; hedges stop only while 0.3 of the attempts are refused. A stand-in for targets of forwarded requests.

--- a/src/build-scripts/install-deps.sh
+++ b/src/build-scripts/install-deps.sh
@@ -10,7 +10,7 @@
 export DEBIAN_FRONTEND=noninteractive
 packages=(
   g++ cmake ninja-build clang-format clang-tidy git python3 curl ca-certificates
-  libulfius-dev libnghttp2-dev libuv1-dev libhttp-parser-dev libcxxopts-dev libgoogle-glog-dev
+  libulfius-dev libnghttp2-dev libuv1-dev libhttp-parser-dev zlib1g-dev libcxxopts-dev libgoogle-glog-dev
   libexpected-dev nlohmann-json3-dev libmsgpack-cxx-dev librocksdb-dev
   libxxhash-dev libgtest-dev libgmock-dev librapidcheck-dev
   libprometheus-cpp-core1.0 spin
--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -5,6 +5,7 @@
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_package(ZLIB REQUIRED)
 find_package(nlohmann_json REQUIRED)
 
 add_library(prometheus_core INTERFACE)
--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -41,7 +41,7 @@
   void Start();
   void AddSeeds(const std::vector<std::string>& seeds);
 
-  std::uint64_t routing_version() const { return routing_version_; }
+  std::uint64_t routing_version() const { return routing_.version; }
   /// True once any control host has told what it knows.
   bool informed() const { return informed_; }
   /// Control hosts that answered lately.
@@ -53,6 +53,7 @@
     bool calling = false;
     bool answered = false;  ///< In its latest call.
     bool ever = false;
+    bool current = false;
     std::string zone;
     std::uint64_t epoch = 0;
     std::uint64_t serial = 0;
@@ -63,7 +64,7 @@
   };
 
   void Tick();
-  void Watch(const std::string& address, Source& source);
+  void Watch(const std::string& address, Source& source, bool best);
   void OnReply(const std::string& address, const PeerResult& result);
   void TakeRouting(const WatchReply& reply);
   void Compare(Instant now, Source& source, const WatchReply& reply);
@@ -75,7 +76,10 @@
   std::string zone_;
   Handlers handlers_;
   std::map<std::string, Source> sources_;
-  std::uint64_t routing_version_ = 0;
+  Routing routing_;  ///< In force; version 0 if there is none.
+  std::uint64_t heard_version_ = 0;
+  Instant heard_version_at_{};
+  std::uint64_t control_digest_ = 0;
   Instant started_{};
   std::uint32_t fleet_size_ = 0;
   bool informed_ = false;
--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -65,6 +65,7 @@
   void OnRead(const PeerServer::Reply& reply);
   ControlStatus Status();
   ControlView View();
+  const Routing& CurrentRouting();
   ReadReply ReadNow();
   bool IsCurrent();
   std::string LeaderAddress() const;
@@ -90,6 +91,7 @@
   EventLog log_;
   std::unique_ptr<RocksLogStore> store_;
   ControlState state_;
+  Routing routing_;  ///< Decoded from the state when it changes.
   /// Null while the disk does not take writes.
   std::unique_ptr<ConsensusNode> node_;
   PeerClient peers_;
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -2,6 +2,7 @@
 #define SNIPEWORKS_CONTROL_MEMBERSHIP_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -19,7 +20,7 @@
 /// What the membership of targets needs to know of the control log.
 struct ControlView {
   bool current = false;  ///< The host hears from a leader with a quorum.
-  const VersionedRouting* routing = nullptr;
+  const Routing* routing = nullptr;        ///< Version 0 if there is none.
   std::vector<std::string> control_hosts;  ///< Peer addresses.
 };
 
@@ -73,9 +74,13 @@
   void LogChange(const Announcement& news, const char* source);
   void SendGossip(const std::string& address, Peer& peer);
   void OnGossipReply(const std::string& address, const PeerResult& result);
-  bool HasNews(const WatchRequest& request, const ControlView& view) const;
-  WatchReply ReplyTo(const WatchRequest& request,
-                     const ControlView& view) const;
+  bool HasNews(Instant now,
+               const WatchRequest& request,
+               const ControlView& view) const;
+  WatchReply ReplyTo(const WatchRequest& request, const ControlView& view);
+  void AddRouting(const WatchRequest& request,
+                  const Routing& newest,
+                  WatchReply& reply);
 
   EventLoop& loop_;
   PeerClient& peers_;
@@ -89,6 +94,14 @@
   std::vector<HeldWatch> watches_;
   std::map<std::string, Peer> others_;
   std::map<std::string, Instant> entry_hosts_;
+  /// The newest versions, for what has changed since.
+  std::deque<Routing> versions_;
+  /// Replies to hosts that are at the same version: version and text.
+  std::map<std::uint64_t, std::string> change_cache_;
+  std::string whole_cache_;
+  std::uint64_t urgent_serial_ = 0;  ///< Changes up to here cannot wait.
+  Instant changed_at_{};             ///< When the newest change came.
+  std::uint64_t changed_serial_ = 0;
   Instant current_since_{};
   Instant gossip_due_{};
 };
--- a/src/include/snipeworks/control_messages.h
+++ b/src/include/snipeworks/control_messages.h
@@ -64,10 +64,10 @@
   std::string change_id;
   std::uint64_t base_version = 0;
   std::string author;
-  std::string text;  ///< With kRouting: the operator's document.
+  std::string text;
   // kRouting
   std::uint64_t routing_version = 0;
-  std::string routing;  ///< An encoded Routing.
+  std::string document;  ///< As the operator sent it, compressed.
   // kClaim and kOutcome
   std::string caller;
   std::string key;
@@ -85,7 +85,7 @@
 template <SameStruct<ControlCommand> S>
 auto WireFields(S& v) {
   return std::tie(v.kind, v.time_s, v.change_id, v.base_version, v.author,
-                  v.text, v.routing_version, v.routing, v.caller, v.key,
+                  v.text, v.routing_version, v.document, v.caller, v.key,
                   v.body_hash, v.owner, v.created_s, v.outcome, v.http_status,
                   v.body);
 }
@@ -158,8 +158,7 @@
 /// The newest accepted version of the routes.
 struct VersionedRouting {
   std::uint64_t version = 0;  ///< 0 until a first one is accepted.
-  std::string document;       ///< As the operator sent it.
-  std::string routing;        ///< An encoded Routing.
+  std::string document;       ///< As the operator sent it, compressed.
 
   friend auto operator<=>(const VersionedRouting&,
                           const VersionedRouting&) = default;
@@ -167,7 +166,7 @@
 
 template <SameStruct<VersionedRouting> S>
 auto WireFields(S& v) {
-  return std::tie(v.version, v.document, v.routing);
+  return std::tie(v.version, v.document);
 }
 
 /// One accepted change of the settings.
--- a/src/include/snipeworks/extra_budget.h
+++ b/src/include/snipeworks/extra_budget.h
@@ -30,7 +30,8 @@
  public:
   void OnPrimary(Instant now);
 
-  /// Takes one extra attempt if that leaves `reserve` of them.
+  /// Takes one extra attempt if that leaves a share of `reserve` of all that
+  /// are allowed.
   bool TryTake(Instant now,
                const ExtraBudgetLimits& limits,
                double reserve = 0.0);
--- a/src/include/snipeworks/group_state.h
+++ b/src/include/snipeworks/group_state.h
@@ -42,13 +42,13 @@
   /// When an attempt counts as slow; nothing while hedging is off, unlearnt,
   /// or unwise because targets shed. `budget_left` is the share of the budget
   /// for extra attempts that has not been spent.
-  std::optional<Duration> HedgeDelay(Instant now, double budget_left) const;
+  std::optional<Duration> HedgeDelay(double budget_left) const;
 
   /// How long an attempt may be silent before its connection is doubted.
   Duration ProbeDelay() const;
 
   void OnLatency(Duration latency) { latencies_.Add(latency); }
-  void OnShed(Instant now);
+  void OnOutcome(AttemptStatus status);
   /// When a request used this group last.
   Instant used_at() const { return used_at_; }
 
@@ -77,7 +77,7 @@
   bool valid_ = false;
   Instant used_at_{};
   Instant computed_at_{};
-  Instant no_hedges_until_{};
+  double shed_share_ = 0.0;  ///< Of the latest attempts.
   Instant busy_since_{};
   Instant busy_at_{};
   DecayedRate dispatched_;
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -24,15 +24,20 @@
   std::string zone;
   std::uint64_t epoch = 0;   ///< Of the control host, as it told; 0 at first.
   std::uint64_t serial = 0;  ///< Of the newest change known; 0 for everything.
-  std::uint64_t routing_version = 0;
+  std::uint64_t routing_version = 0;  ///< In force.
+  std::uint64_t heard_version = 0;    ///< The newest that anybody has told of.
+  /// Routes are wanted from this control host, and not only news of them.
+  bool wants_routing = false;
   /// Routes are wanted even from a control host that may be behind.
   bool takes_old_routing = true;
+  std::uint64_t control_digest = 0;  ///< Of the control hosts known.
 };
 
 template <SameStruct<WatchRequest> S>
 auto WireFields(S& v) {
   return std::tie(v.host, v.zone, v.epoch, v.serial, v.routing_version,
-                  v.takes_old_routing);
+                  v.heard_version, v.wants_routing, v.takes_old_routing,
+                  v.control_digest);
 }
 
 /// The answer to a WatchRequest.
@@ -44,15 +49,19 @@
   std::uint64_t digest = 0;
   std::vector<Announcement> changes;
   std::uint64_t routing_version = 0;
-  std::string routing;  ///< An encoded Routing if it is newer, or empty.
+  std::string routing;  ///< A compressed Routing if it is wanted and newer,
+  std::string routing_change;     ///< or a compressed RoutingChange.
+  bool current = false;           ///< False if the host may be behind.
   std::uint32_t entry_hosts = 0;  ///< That the control hosts hear of.
-  std::vector<std::string> control_hosts;
+  std::uint64_t control_digest = 0;
+  std::vector<std::string> control_hosts;  ///< If they are other ones.
 };
 
 template <SameStruct<WatchReply> S>
 auto WireFields(S& v) {
   return std::tie(v.zone, v.epoch, v.serial, v.digest, v.changes,
-                  v.routing_version, v.routing, v.entry_hosts, v.control_hosts);
+                  v.routing_version, v.routing, v.routing_change, v.current,
+                  v.entry_hosts, v.control_digest, v.control_hosts);
 }
 
 /// A report that only shows that a target is alive.
--- a/src/include/snipeworks/routing.h
+++ b/src/include/snipeworks/routing.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -107,6 +108,33 @@
 /// one place, weights that add up to 0, no timeout. Fails with kBadRequest.
 Result<void> Validate(const Routing& routing);
 
+/// What has to be done to one version to get another.
+struct RoutingChange {
+  std::uint64_t from = 0;
+  std::uint64_t version = 0;
+  std::vector<Route> routes;             ///< New or changed.
+  std::vector<std::string> gone_routes;  ///< By name.
+  std::vector<GroupSpec> groups;         ///< New or changed.
+  std::vector<std::string> gone_groups;  ///< By name.
+  CallerLimits limits;
+
+  friend auto operator<=>(const RoutingChange&, const RoutingChange&) = default;
+};
+
+template <SameStruct<RoutingChange> S>
+auto WireFields(S& v) {
+  return std::tie(v.from, v.version, v.routes, v.gone_routes, v.groups,
+                  v.gone_groups, v.limits);
+}
+
+/// The change that leads from `from` to `to`; nothing if names are not unique.
+std::optional<RoutingChange> DifferenceOf(const Routing& from,
+                                          const Routing& to);
+
+/// `routing` after `change`, or nothing if the change is of another version.
+std::optional<Routing> Changed(const Routing& routing,
+                               const RoutingChange& change);
+
 /// Finds the route of a request. Immutable.
 class RouteTable {
  public:
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "snipeworks/compression.h"
+
 namespace snipeworks {
 
 namespace {
@@ -10,14 +12,17 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTick = milliseconds(50);
-// A control host answers within its hold of 700 ms; a silent connection is
-// given up soon after.
-constexpr Duration kWatchTimeout = milliseconds(1300);
+// A control host answers within its hold of 1 s; a silent connection is given
+// up soon after.
+constexpr Duration kWatchTimeout = milliseconds(1500);
 constexpr Duration kRetryPause = milliseconds(300);
 // Control hosts beyond those watched are looked at this often.
 constexpr Duration kSparePause = std::chrono::seconds(5);
-// Watched at once: two may fail and one may be behind.
-constexpr std::size_t kWatched = 4;
+// Watched at once: the nearest, and one more that tells if that one is behind.
+constexpr std::size_t kWatched = 2;
+// News of routes that the nearest control host does not bring within this time
+// are asked of the others.
+constexpr Duration kRoutingPatience = milliseconds(300);
 constexpr Duration kHeardLately = milliseconds(2500);
 constexpr int kDifferingReplies = 3;
 constexpr Duration kFullInterval = std::chrono::seconds(3);
@@ -62,14 +67,16 @@
       }));
 }
 
-// Hosts that answer are preferred, then those of the own zone; the rest get a
-// call now and then, so that one that has come back is found.
+// Hosts that answer are preferred, then those in touch with a quorum, then
+// those of the own zone; the rest get a call now and then, so that one that has
+// come back is found.
 void ControlFeed::Tick() {
   const Instant now = MonotonicNow();
   std::vector<std::pair<int, std::string>> ranked;
   for (const auto& [address, source] : sources_) {
     const bool alive = source.ever && now - source.heard < kHeardLately;
-    const int rank = (alive ? 0 : 2) + (source.zone == zone_ ? 0 : 1);
+    const int rank = (alive ? 0 : 4) + (source.current ? 0 : 2) +
+                     (source.zone == zone_ ? 0 : 1);
     ranked.emplace_back(rank, address);
   }
   std::ranges::sort(ranked);
@@ -78,21 +85,27 @@
     const bool spare = i >= kWatched;
     const Duration pause = spare ? kSparePause : Duration{};
     if (!source.calling && now >= source.next_call + pause) {
-      Watch(ranked[i].second, source);
+      Watch(ranked[i].second, source, i == 0);
     }
   }
 }
 
-void ControlFeed::Watch(const std::string& address, Source& source) {
+void ControlFeed::Watch(const std::string& address, Source& source, bool best) {
   source.calling = true;
   WatchRequest request;
   request.host = host_;
   request.zone = zone_;
   request.epoch = source.epoch;
   request.serial = source.serial;
-  request.routing_version = routing_version_;
+  const Instant now = MonotonicNow();
+  const bool overdue = heard_version_ > routing_.version &&
+                       now - heard_version_at_ > kRoutingPatience;
+  request.routing_version = routing_.version;
+  request.heard_version = heard_version_;
+  request.wants_routing = best || overdue || routing_.version == 0;
   request.takes_old_routing =
-      routing_version_ > 0 || MonotonicNow() - started_ > kPatienceForCurrent;
+      routing_.version > 0 || now - started_ > kPatienceForCurrent;
+  request.control_digest = control_digest_;
   peers_.Call(
       address, kControlWatchPath, Encode(request), kWatchTimeout,
       [this, address](const PeerResult& result) { OnReply(address, result); });
@@ -121,6 +134,7 @@
   source.ever = true;
   source.heard = now;
   source.zone = reply->zone;
+  source.current = reply->current;
   source.epoch = reply->epoch;
   source.serial = reply->serial;
   if (!reply->changes.empty()) {
@@ -129,7 +143,10 @@
   informed_ = true;
   TakeRouting(*reply);
   Compare(now, source, *reply);
-  AddSeeds(reply->control_hosts);
+  if (!reply->control_hosts.empty()) {
+    control_digest_ = reply->control_digest;
+    AddSeeds(reply->control_hosts);
+  }
   if (reply->entry_hosts > 0 && reply->entry_hosts != fleet_size_) {
     fleet_size_ = reply->entry_hosts;
     handlers_.on_fleet_size(fleet_size_);
@@ -138,12 +155,23 @@
 }
 
 void ControlFeed::TakeRouting(const WatchReply& reply) {
-  if (reply.routing.empty() || reply.routing_version <= routing_version_) {
-    return;
+  if (reply.routing_version > heard_version_) {
+    heard_version_ = reply.routing_version;
+    heard_version_at_ = MonotonicNow();
+  }
+  std::optional<Routing> newer;
+  if (!reply.routing_change.empty()) {
+    const auto bytes = Decompress(reply.routing_change);
+    const auto change =
+        bytes ? Decode<RoutingChange>(*bytes) : std::optional<RoutingChange>();
+    newer = change ? Changed(routing_, *change) : std::nullopt;
+  } else if (!reply.routing.empty()) {
+    const auto bytes = Decompress(reply.routing);
+    newer = bytes ? Decode<Routing>(*bytes) : std::nullopt;
   }
-  if (auto routing = Decode<Routing>(reply.routing)) {
-    routing_version_ = routing->version;
-    handlers_.on_routing(*routing);
+  if (newer && newer->version > routing_.version) {
+    routing_ = std::move(*newer);
+    handlers_.on_routing(routing_);
   }
 }
 
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "snipeworks/caller_api.h"
+#include "snipeworks/compression.h"
 #include "snipeworks/entry_messages.h"
 
 namespace snipeworks {
@@ -517,10 +518,32 @@
   return found == node_->members().end() ? "" : found->address;
 }
 
+// Documents are checked before they are proposed, so one that cannot be read
+// here was taken by a host with other names; the version before stays.
+const Routing& ControlHost::CurrentRouting() {
+  const VersionedRouting& newest = state_.routing();
+  if (newest.version == routing_.version) {
+    return routing_;
+  }
+  const auto document = Decompress(newest.document);
+  auto routing =
+      document
+          ? ParseRouting(*document, names_.routing)
+          : Result<Routing>(Fail(ErrorKind::kInternal, "damaged document"));
+  if (routing) {
+    routing_ = std::move(*routing);
+  } else if (newest.version > 0) {
+    LOG_EVERY_N(ERROR, 100)
+        << "event=routing_unreadable version=" << newest.version << " reason=\""
+        << routing.error().detail << "\"";
+  }
+  return routing_;
+}
+
 ControlView ControlHost::View() {
   ControlView view;
   view.current = IsCurrent();
-  view.routing = &state_.routing();
+  view.routing = &CurrentRouting();
   if (node_) {
     for (const Member& member : node_->members()) {
       view.control_hosts.push_back(member.address);
@@ -599,8 +622,7 @@
   ControlCommand command;
   command.kind = CommandKind::kRouting;
   command.routing_version = change.routing.version;
-  command.text = change.document;
-  command.routing = Encode(change.routing);
+  command.document = Compress(change.document);
   Decide(
       Encode(command), now + kDecidePatience,
       [this, exchange, now,
@@ -678,9 +700,11 @@
 
 void ControlHost::AnswerRead(ExchangeId exchange, const ReadReply& reply) {
   if (reply.current && reply.routing.version > 0) {
-    metrics_.OnCall("read_routing", "answered");
-    Answer(exchange, reply.routing.document);
-    return;
+    if (const auto document = Decompress(reply.routing.document)) {
+      metrics_.OnCall("read_routing", "answered");
+      Answer(exchange, *document);
+      return;
+    }
   }
   log_.Write(EventKind::kReadUnanswered,
              {{"current", reply.current}, {"version", reply.routing.version}});
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -4,14 +4,22 @@
 #include <random>
 #include <utility>
 
+#include <xxhash.h>
+
+#include "snipeworks/compression.h"
+
 namespace snipeworks {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-// Watchers take a call for lost after twice this.
-constexpr Duration kWatchHold = milliseconds(700);
+// Watchers take a call for lost a while after this.
+constexpr Duration kWatchHold = milliseconds(1000);
+// New targets come many at a time; what ends a target's work goes at once.
+constexpr Duration kBatchTime = milliseconds(200);
+// Hosts that are further behind get the whole routing.
+constexpr std::size_t kVersionsKept = 8;
 constexpr Duration kGossipInterval = milliseconds(500);
 constexpr Duration kGossipTimeout = milliseconds(800);
 constexpr Duration kGossipPause = milliseconds(300);
@@ -45,6 +53,9 @@
 
 void ControlMembership::LogChange(const Announcement& news,
                                   const char* source) {
+  if (news.state != TargetState::kServing) {
+    urgent_serial_ = directory_.serial();
+  }
   log_.Write(EventKind::kTargetChanged, {{"target", news.target},
                                          {"group", news.group},
                                          {"address", news.address},
@@ -203,17 +214,59 @@
   reply(Encode(GossipReply{ServingDigest(directory_.view())}));
 }
 
-bool ControlMembership::HasNews(const WatchRequest& request,
+bool ControlMembership::HasNews(Instant now,
+                                const WatchRequest& request,
                                 const ControlView& view) const {
-  if (request.epoch != epoch_ || request.serial < directory_.serial()) {
+  if (request.epoch != epoch_ || request.serial < urgent_serial_) {
+    return true;
+  }
+  const bool batched = now - changed_at_ >= kBatchTime;
+  if (request.serial < directory_.serial() && batched) {
     return true;
   }
-  return view.routing->version > request.routing_version &&
-         (view.current || request.takes_old_routing);
+  if (!view.current && !request.takes_old_routing) {
+    return false;
+  }
+  const std::uint64_t known =
+      request.wants_routing
+          ? request.routing_version
+          : std::max(request.heard_version, request.routing_version);
+  return view.routing->version > known;
+}
+
+// Hosts that are a few versions behind get what has changed since.
+void ControlMembership::AddRouting(const WatchRequest& request,
+                                   const Routing& newest,
+                                   WatchReply& reply) {
+  const auto known =
+      std::ranges::find(versions_, request.routing_version, &Routing::version);
+  if (known != versions_.end()) {
+    std::string& cached = change_cache_[request.routing_version];
+    if (cached.empty()) {
+      if (const auto change = DifferenceOf(*known, newest)) {
+        cached = Compress(Encode(*change));
+      }
+    }
+    reply.routing_change = cached;
+  }
+  if (reply.routing_change.empty()) {
+    if (whole_cache_.empty()) {
+      whole_cache_ = Compress(Encode(newest));
+    }
+    reply.routing = whole_cache_;
+  }
 }
 
 WatchReply ControlMembership::ReplyTo(const WatchRequest& request,
-                                      const ControlView& view) const {
+                                      const ControlView& view) {
+  if (versions_.empty() || versions_.back().version < view.routing->version) {
+    versions_.push_back(*view.routing);
+    change_cache_.clear();
+    whole_cache_.clear();
+    if (versions_.size() > kVersionsKept) {
+      versions_.pop_front();
+    }
+  }
   WatchReply reply;
   reply.zone = zone_;
   reply.epoch = epoch_;
@@ -222,12 +275,21 @@
   reply.changes =
       directory_.ChangesSince(request.epoch == epoch_ ? request.serial : 0);
   reply.routing_version = view.routing->version;
+  reply.current = view.current;
   const bool newer = view.routing->version > request.routing_version;
-  if (newer && (view.current || request.takes_old_routing)) {
-    reply.routing = view.routing->routing;
+  if (newer && request.wants_routing &&
+      (view.current || request.takes_old_routing)) {
+    AddRouting(request, *view.routing, reply);
   }
   reply.entry_hosts = entry_hosts();
-  reply.control_hosts = view.control_hosts;
+  std::string hosts;
+  for (const std::string& host : view.control_hosts) {
+    hosts += host + ' ';
+  }
+  reply.control_digest = XXH3_64bits(hosts.data(), hosts.size());
+  if (reply.control_digest != request.control_digest) {
+    reply.control_hosts = view.control_hosts;
+  }
   return reply;
 }
 
@@ -241,7 +303,7 @@
   const Instant now = MonotonicNow();
   entry_hosts_[request->host] = now;
   const ControlView view = view_();
-  if (HasNews(*request, view)) {
+  if (HasNews(now, *request, view)) {
     reply(Encode(ReplyTo(*request, view)));
     return;
   }
@@ -249,13 +311,17 @@
 }
 
 void ControlMembership::AfterTurn() {
+  const Instant now = MonotonicNow();
+  if (changed_serial_ != directory_.serial()) {
+    changed_serial_ = directory_.serial();
+    changed_at_ = now;
+  }
   if (watches_.empty()) {
     return;
   }
-  const Instant now = MonotonicNow();
   const ControlView view = view_();
   std::erase_if(watches_, [&](const HeldWatch& held) {
-    const bool due = now >= held.until || HasNews(held.request, view);
+    const bool due = now >= held.until || HasNews(now, held.request, view);
     if (due) {
       held.reply(Encode(ReplyTo(held.request, view)));
     }
--- a/src/libsnipeworks/control_state.cpp
+++ b/src/libsnipeworks/control_state.cpp
@@ -100,7 +100,7 @@
 CommandResult ControlState::ApplyRouting(const ControlCommand& command) {
   CommandResult result;
   if (command.routing_version > routing_.version) {
-    routing_ = {command.routing_version, command.text, command.routing};
+    routing_ = {command.routing_version, command.document};
     result.status = CommandStatus::kAccepted;
   } else {
     result.status = CommandStatus::kUnchanged;
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -15,7 +15,12 @@
 constexpr Duration kMinHedgeDelay = milliseconds(2);
 constexpr Duration kMinProbeDelay = milliseconds(20);
 constexpr int kProbeDelayFactor = 3;
-constexpr Duration kNoHedgesAfterShed = milliseconds(1000);
+// A hedge adds to the load of targets that refuse so much of it.
+constexpr double kShedShareWithoutHedges = 0.3;
+constexpr double kShedWeight = 0.05;
+// The percentile after which hedges go out rises once less of the budget than
+// this is left.
+constexpr double kBudgetAtEase = 0.5;
 constexpr int kMedian = 50;
 constexpr int kSlowPercentile = 95;
 constexpr double kLastPercentile = 99.0;
@@ -61,15 +66,14 @@
   return latencies_.Percentile(kMedian).value_or(kUnlearntReference);
 }
 
-std::optional<Duration> GroupState::HedgeDelay(Instant now,
-                                               double budget_left) const {
-  if (policy.hedge_percentile == 0 || now < no_hedges_until_) {
+std::optional<Duration> GroupState::HedgeDelay(double budget_left) const {
+  if (policy.hedge_percentile == 0 || shed_share_ > kShedShareWithoutHedges) {
     return std::nullopt;
   }
   // The emptier the budget, the slower an attempt must be to get a hedge: what
   // is left goes to the worst stragglers, not to the first ones.
   const auto base = static_cast<double>(policy.hedge_percentile);
-  const double spent = 1.0 - budget_left;
+  const double spent = 1.0 - std::min(1.0, budget_left / kBudgetAtEase);
   const double percentile = base + (kLastPercentile - base) * spent;
   auto learnt = latencies_.Percentile(static_cast<int>(percentile));
   if (!learnt) {
@@ -84,8 +88,9 @@
   return std::max(kMinProbeDelay, slow * kProbeDelayFactor);
 }
 
-void GroupState::OnShed(Instant now) {
-  no_hedges_until_ = now + kNoHedgesAfterShed;
+void GroupState::OnOutcome(AttemptStatus status) {
+  const double shed = status == AttemptStatus::kShed ? 1.0 : 0.0;
+  shed_share_ += kShedWeight * (shed - shed_share_);
 }
 
 void GroupState::OnDispatch(Instant now, RequestClass request_class) {
--- a/src/libsnipeworks/routing.cpp
+++ b/src/libsnipeworks/routing.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
-#include <numeric>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -26,6 +26,50 @@
   return place;
 }
 
+// Collects what `to` has that `from` has not, or has otherwise, and the names
+// that `to` lacks. Returns false if a name stands twice.
+template <typename Named>
+bool Compare(const std::vector<Named>& from,
+             const std::vector<Named>& to,
+             std::vector<Named>& changed,
+             std::vector<std::string>& gone) {
+  std::map<std::string_view, const Named*> before;
+  for (const Named& one : from) {
+    if (!before.emplace(one.name, &one).second) {
+      return false;
+    }
+  }
+  std::set<std::string_view> after;
+  for (const Named& one : to) {
+    if (!after.insert(one.name).second) {
+      return false;
+    }
+    auto found = before.find(one.name);
+    if (found == before.end() || *found->second != one) {
+      changed.push_back(one);
+    }
+  }
+  for (const Named& one : from) {
+    if (!after.contains(one.name)) {
+      gone.push_back(one.name);
+    }
+  }
+  return true;
+}
+
+template <typename Named>
+void Replace(std::vector<Named>& all,
+             const std::vector<Named>& changed,
+             const std::vector<std::string>& gone) {
+  std::set<std::string_view> dropped(gone.begin(), gone.end());
+  for (const Named& one : changed) {
+    dropped.insert(one.name);
+  }
+  std::erase_if(all,
+                [&](const Named& one) { return dropped.contains(one.name); });
+  all.insert(all.end(), changed.begin(), changed.end());
+}
+
 Result<void> Validate(const Route& route, const std::set<std::string>& known) {
   const std::string where = "route " + route.name + ": ";
   std::vector<std::string> named = route.shards;
@@ -72,6 +116,31 @@
   return {};
 }
 
+std::optional<RoutingChange> DifferenceOf(const Routing& from,
+                                          const Routing& to) {
+  RoutingChange change;
+  change.from = from.version;
+  change.version = to.version;
+  change.limits = to.limits;
+  const bool unique =
+      Compare(from.routes, to.routes, change.routes, change.gone_routes) &&
+      Compare(from.groups, to.groups, change.groups, change.gone_groups);
+  return unique ? std::optional(std::move(change)) : std::nullopt;
+}
+
+std::optional<Routing> Changed(const Routing& routing,
+                               const RoutingChange& change) {
+  if (routing.version != change.from) {
+    return std::nullopt;
+  }
+  Routing changed = routing;
+  changed.version = change.version;
+  changed.limits = change.limits;
+  Replace(changed.routes, change.routes, change.gone_routes);
+  Replace(changed.groups, change.groups, change.gone_groups);
+  return changed;
+}
+
 RouteTable::RouteTable(Routing routing) : routing_(std::move(routing)) {
   for (const Route& route : routing_.routes) {
     by_place_[PlaceOf(route.host, route.path_prefix)] = &route;
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Hedges leave this many tokens of the extra budget to retries.
-constexpr double kRetryReserve = 2.0;
+// Hedges leave this share of the extra attempts to retries.
+constexpr double kRetryReserve = 0.2;
 
 }  // namespace
 
@@ -29,9 +29,7 @@
       outcome.status == AttemptStatus::kCancelled) {
     group.OnLatency(latency);
   }
-  if (outcome.status == AttemptStatus::kShed) {
-    group.OnShed(now);
-  }
+  group.OnOutcome(outcome.status);
   if (outcome.status == AttemptStatus::kWrongTarget) {
     TakeWrongTarget(now, run);
   }
--- /dev/null
+++ b/src/snipe-backend/main.cpp
@@ -0,0 +1,110 @@
+// snipe-backend: stand-ins for targets of forwarded requests.
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "backend.h"
+#include "snipeworks/program.h"
+
+namespace snipeworks {
+namespace {
+
+std::vector<std::string> Split(const std::string& text, char by) {
+  std::vector<std::string> items;
+  std::istringstream stream(text);
+  for (std::string item; std::getline(stream, item, by);) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+double WallSeconds() {
+  return std::chrono::duration<double>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options = ProgramOptions(
+      "snipe-backend", "Stands in for targets of forwarded requests.");
+  options.add_options()("groups", "Groups, with commas: one target each",
+                        cxxopts::value<std::string>())(
+      "controls", "Control hosts as IP:port, with commas",
+      cxxopts::value<std::string>())("first-port",
+                                     "Port of the first target on 127.0.0.1",
+                                     cxxopts::value<std::uint16_t>())(
+      "zone", "Zone of the targets",
+      cxxopts::value<std::string>()->default_value("zone-1"))(
+      "slots", "Requests that a target runs at once",
+      cxxopts::value<std::uint32_t>()->default_value("3"))(
+      "work-us", "Mean work of a request, in microseconds",
+      cxxopts::value<std::int64_t>()->default_value("5000"))(
+      "history", "File that gets a JSON line for each request that begins",
+      cxxopts::value<std::string>()->default_value(""));
+  ParsedOptions parsed = ReadOptions(options, argc, argv);
+  if (parsed.exit) {
+    return parsed.exit_code;
+  }
+  for (const char* needed : {"groups", "controls", "first-port"}) {
+    if (parsed.result.count(needed) == 0) {
+      return UsageError("snipe-backend",
+                        std::string("--") + needed + " is needed");
+    }
+  }
+  std::ofstream history(parsed.result["history"].as<std::string>(),
+                        std::ios::app);
+  EventLoop loop;
+  std::vector<std::unique_ptr<Backend>> backends;
+  auto port = parsed.result["first-port"].as<std::uint16_t>();
+  for (const std::string& group :
+       Split(parsed.result["groups"].as<std::string>(), ',')) {
+    BackendPlan plan;
+    plan.group = group;
+    plan.zone = parsed.result["zone"].as<std::string>();
+    plan.address = {"127.0.0.1", port++};
+    plan.controls = Split(parsed.result["controls"].as<std::string>(), ',');
+    plan.slots = parsed.result["slots"].as<std::uint32_t>();
+    plan.work = Duration(parsed.result["work-us"].as<std::int64_t>());
+    const std::size_t index = backends.size();
+    backends.push_back(std::make_unique<Backend>(
+        loop, plan,
+        [&, index](const std::string& event, const std::string& request) {
+          history << nlohmann::json{{"time", WallSeconds()},
+                                    {"event", event},
+                                    {"request", request},
+                                    {"target", backends[index]->name()}}
+                  << "\n"
+                  << std::flush;
+        }));
+    if (auto started = backends.back()->Start(); !started) {
+      return UsageError("snipe-backend", started.error().detail);
+    }
+  }
+  std::size_t draining = backends.size();
+  loop.OnSignal(SIGTERM, [&] {
+    for (auto& backend : backends) {
+      backend->Drain([&] {
+        if (--draining == 0) {
+          loop.Stop();
+        }
+      });
+    }
+  });
+  loop.OnSignal(SIGINT, [&] { loop.Stop(); });
+  loop.Run();
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace snipeworks
+
+int main(int argc, char** argv) {
+  return snipeworks::Main(argc, argv);
+}
--- a/src/snipe-load/main.cpp
+++ b/src/snipe-load/main.cpp
@@ -7,6 +7,7 @@
 #include "history_check.h"
 #include "load_run.h"
 #include "report.h"
+#include "snipeworks/address.h"
 #include "snipeworks/program.h"
 
 namespace snipeworks {
