Hedge between a share of the objective and the last useful moment

Cause: with 59 hosts each learns little: the first hedges went out after 12 ms or not at all, spent the small budget of a host on attempts that would have come in time, and 893 of about 4,800 wanted hedges in 10 s were refused for the budget; the two parts that made lot-match late had got none. Change: objective_ms in the policy; a hedge goes out between 35% of the objective and the moment when it can still answer; a hedge that is not made is logged with its reason; late answers are always logged.

--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -29,6 +29,7 @@
   kFleetSize,
   kRequest,
   kAttempt,
+  kHedgeSkipped,
   kCallerGone,
   kRequestRejected,
   kReportRejected,
--- a/src/include/snipeworks/policy.h
+++ b/src/include/snipeworks/policy.h
@@ -35,6 +35,7 @@
   std::int64_t min_coverage_permille = 0;   ///< Of parts, in an answer.
   std::int64_t other_zone_percent = 100;    ///< Cost of a target elsewhere.
   std::int64_t probe_silent = 1;            ///< Whether silence is probed.
+  std::int64_t objective_ms = 0;            ///< When an answer is wanted.
   std::int64_t canary = 0;                  ///< A Canary.
   std::int64_t quarantine_s = 60;
   std::int64_t admission = 1;  ///< 0 admits everything.
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -51,6 +51,14 @@
   bool confirm = false;
 };
 
+/// An attempt counts as slow and gets no hedge. For the log only.
+struct SkipHedge {
+  AttemptId id = 0;
+  RequestId request = 0;
+  std::string target;
+  const char* reason = "";  ///< "budget", "busy", "no-replica" or "attempts".
+};
+
 /// What an announcement brought.
 enum class AnnounceResult {
   kOld,      ///< Known already, or older than what is known.
@@ -62,7 +70,8 @@
                                   CancelAttempt,
                                   ProbeAttempt,
                                   FinishSearch,
-                                  ShareEvidence>;
+                                  ShareEvidence,
+                                  SkipHedge>;
 
 /// A target lent to a request that is not repeatable.
 struct ActionTarget {
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -42,6 +42,8 @@
              "a request has got its answer"},
     EventRow{EventKind::kAttempt, "attempt", false,
              "an attempt was not a first one, or did not succeed"},
+    EventRow{EventKind::kHedgeSkipped, "hedge_skipped", false,
+             "an attempt is slow and gets no second one beside it"},
     EventRow{EventKind::kCallerGone, "caller_gone", false,
              "a caller left before its answer"},
     EventRow{EventKind::kRequestRejected, "request_rejected", false,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -399,6 +399,16 @@
     gateway_.Cancel(cancel->id);
   } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
     Finish(*finish);
+  } else if (const auto* skip = std::get_if<SkipHedge>(&action)) {
+    auto running = running_.find(skip->request);
+    if (running != running_.end()) {
+      log_.Write(EventKind::kHedgeSkipped,
+                 {{"request", running->second.request.forwarded->request_id},
+                  {"attempt", skip->id},
+                  {"target", skip->target},
+                  {"after_ms", MonotonicNow() - running->second.started},
+                  {"reason", skip->reason}});
+    }
   }
 }
 
@@ -434,7 +444,11 @@
                             const FinishSearch& finish,
                             int status) {
   const bool whole = finish.result && finish.result->coverage.complete();
-  if (whole && ++successes_ % kSuccessSample != 0) {
+  const Duration took = MonotonicNow() - running.started;
+  const bool in_time =
+      took <= milliseconds(running.request.plan->policy.objective_ms);
+  const bool plain = whole && in_time;
+  if (plain && ++successes_ % kSuccessSample != 0) {
     return;
   }
   AttemptCounts attempts;
@@ -459,7 +473,8 @@
                                  : RowOf(finish.result.error().kind).name},
        {"detail", finish.result ? std::string() : finish.result.error().detail},
        {"status", status},
-       {"took_ms", MonotonicNow() - running.started},
+       {"took_ms", took},
+       {"objective_ms", running.request.plan->policy.objective_ms},
        {"deadline_ms", *running.request.budget},
        {"parts", parts},
        {"answered", answered},
@@ -467,7 +482,7 @@
        {"hedges", attempts.hedge},
        {"retries", attempts.retry},
        {"replacements", attempts.replacement},
-       {"sampled_one_in", whole ? kSuccessSample : 1}});
+       {"sampled_one_in", plain ? kSuccessSample : 1}});
 }
 
 HttpResponse ForwardHost::Answer(const Running& running,
--- a/src/libsnipeworks/forward_plan.cpp
+++ b/src/libsnipeworks/forward_plan.cpp
@@ -31,6 +31,7 @@
   GroupPolicy policy = policy_;
   policy.deadline_ms = route.timeout_ms;
   policy.max_attempts = std::max(1U, route.max_attempts);
+  policy.objective_ms = route.objective_ms;
   if (route.shards.empty()) {
     policy.answer = static_cast<std::int64_t>(AnswerRule::kCoverage);
     return policy;
@@ -40,6 +41,7 @@
   policy.answer = static_cast<std::int64_t>(AnswerRule::kSoftDeadline);
   policy.soft_deadline_ms = static_cast<std::int64_t>(
       std::max(objective - margin, objective * kLeastObjectiveShare));
+  policy.objective_ms = policy.soft_deadline_ms;
   policy.min_coverage_permille = static_cast<std::int64_t>(
       std::ceil(route.min_shard_share * 1000.0 - 1e-6));
   return policy;
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -18,6 +18,8 @@
 // A hedge adds to the load of targets that refuse so much of it.
 constexpr double kShedShareWithoutHedges = 0.3;
 constexpr double kShedWeight = 0.05;
+// Share of an objective that passes before an attempt counts as slow.
+constexpr int kEarliestHedgePercent = 35;
 // The percentile after which hedges go out rises once less of the budget than
 // this is left.
 constexpr double kBudgetAtEase = 0.5;
@@ -76,10 +78,16 @@
   const double spent = 1.0 - std::min(1.0, budget_left / kBudgetAtEase);
   const double percentile = base + (kLastPercentile - base) * spent;
   auto learnt = latencies_.Percentile(static_cast<int>(percentile));
-  if (!learnt) {
-    return std::nullopt;
+  const Duration objective = milliseconds(policy.objective_ms);
+  if (objective == Duration{}) {
+    return learnt ? std::optional(std::max(kMinHedgeDelay, *learnt))
+                  : std::nullopt;
   }
-  return std::max(kMinHedgeDelay, *learnt);
+  // A hedge that goes out early is wasted on attempts that would have come in
+  // time; one that goes out late comes too late itself.
+  const Duration earliest = objective * kEarliestHedgePercent / 100;
+  const Duration latest = std::max(earliest, objective - 2 * Reference());
+  return std::clamp(learnt.value_or(earliest), earliest, latest);
 }
 
 Duration GroupState::ProbeDelay() const {
--- a/src/libsnipeworks/policy.cpp
+++ b/src/libsnipeworks/policy.cpp
@@ -48,6 +48,9 @@
     PolicyField{"probe_silent", &GroupPolicy::probe_silent, 0, 1, kSwitch,
                 "whether a target that keeps silent is asked over another "
                 "connection"},
+    PolicyField{"objective_ms", &GroupPolicy::objective_ms, 0, 600000, Names(),
+                "when an answer is wanted; a hedge goes out while it can still "
+                "answer by then; 0 for no such time"},
     PolicyField{"canary", &GroupPolicy::canary, 0, 2, kCanaries,
                 "which requests run on one part before they fan out"},
     PolicyField{"quarantine_s", &GroupPolicy::quarantine_s, 1, 86400, Names(),
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kGroupForgotten = std::chrono::minutes(2);
 // Attempts cross the edges of a window on their way to the targets, so hosts
 // keep a little under what all of them together may send.
-constexpr double kExtraMargin = 0.8;
+constexpr double kExtraMargin = 0.9;
 constexpr Duration kEndless = std::chrono::hours(24 * 365 * 10);
 
 bool SameHoldings(const Announcement& a, const Announcement& b) {
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -191,16 +191,26 @@
   const bool wanted =
       part.status == PartStatus::kRunning && !part.hedged &&
       std::ranges::find(part.running, id) != part.running.end() &&
-      search->lost_targets.empty() && MayTryAgain(*search, part) &&
-      HedgeDelay(now, run);
+      search->lost_targets.empty() && HedgeDelay(now, run);
   if (!wanted) {
     return;
   }
+  const auto skip = [&](const char* reason) {
+    actions_.emplace_back(SkipHedge{id, run.request, run.target, reason});
+  };
+  if (!MayTryAgain(*search, part)) {
+    skip("attempts");
+    return;
+  }
   const ReplicaChoice choice =
       selector_.Choose({now, search->ReplicasOf(run.part_index), part.tried,
                         group.Reference(), search->policy()});
-  if (choice.state != ReplicaChoice::State::kChosen ||
-      !TakeExtra(now, group.policy, run.target_group, kRetryReserve)) {
+  if (choice.state != ReplicaChoice::State::kChosen) {
+    skip(choice.state == ReplicaChoice::State::kBusy ? "busy" : "no-replica");
+    return;
+  }
+  if (!TakeExtra(now, group.policy, run.target_group, kRetryReserve)) {
+    skip("budget");
     return;
   }
   part.hedged = true;
