--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -56,7 +57,8 @@
   AttemptId id = 0;
   RequestId request = 0;
   std::string target;
-  const char* reason = "";  ///< "budget", "busy", "no-replica" or "attempts".
+  /// "budget", "busy", "load", "no-replica" or "attempts".
+  const char* reason = "";
 };
 
 /// What an announcement brought.
@@ -162,6 +164,9 @@
   const TargetView& view() const;
   /// Connections that this host may hold to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
+  /// The request and the target of an attempt that has no outcome yet; 0 and
+  /// empty for others.
+  std::pair<RequestId, std::string> AttemptOf(AttemptId attempt) const;
   /// Searches that have no answer yet.
   std::size_t running() const;
   /// Parts that wait for a slot.
--- a/src/include/snipeworks/target_stats.h
+++ b/src/include/snipeworks/target_stats.h
@@ -48,6 +48,10 @@
                Duration reference,
                const GroupPolicy& policy) const;
 
+  /// True if one more attempt would wait there for a slot, as far as is known.
+  bool WouldQueue(Instant now) const {
+    return Busy(now) >= static_cast<double>(slots_);
+  }
   int in_flight() const { return in_flight_; }
   /// Attempts that may be in flight at once.
   int limit() const { return static_cast<int>(limit_); }
@@ -55,7 +59,7 @@
  private:
   void Reset(Instant now);
   void OnHealthy(const AttemptOutcome& outcome, Duration latency);
-  void Observe(Instant now, double slowness);
+  void Observe(Instant now, double slowness, double weight);
   void ObserveFailure(Instant now, bool failed);
   double Busy(Instant now) const;
   void Eject(Instant now, const GroupPolicy& policy);
--- a/src/libsnipeworks/event_log_test.cpp
+++ b/src/libsnipeworks/event_log_test.cpp
@@ -70,6 +70,29 @@
   EXPECT_GT(log.dropped(), 10000U);
 }
 
+// Every event has a row in docs/logs.md, and no other has one.
+TEST(EventTables, AreDocumented) {
+  std::ifstream file(SNIPEWORKS_SOURCE_DIR "/docs/logs.md");
+  std::set<std::string> documented;
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("| `")) {
+      documented.insert(line.substr(3, line.find('`', 3) - 3));
+      const bool always = line.find("` | yes |") != std::string::npos;
+      for (const EventRow& row : EventTable()) {
+        if (row.name == line.substr(3, line.find('`', 3) - 3)) {
+          EXPECT_EQ(row.always, always) << row.name;
+          EXPECT_NE(line.find(row.brief), std::string::npos) << row.name;
+        }
+      }
+    }
+  }
+  std::set<std::string> known;
+  for (const EventRow& row : EventTable()) {
+    known.insert(std::string(row.name));
+  }
+  EXPECT_EQ(documented, known);
+}
+
 TEST(EventTables, NameEachEventOnce) {
   std::set<std::string_view> names;
   std::size_t index = 0;
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -417,10 +417,17 @@
   const bool expected = outcome.status == AttemptStatus::kAnswered ||
                         outcome.status == AttemptStatus::kCancelled;
   if (!expected) {
-    log_.Write(EventKind::kAttempt,
-               {{"attempt", attempt},
-                {"outcome", ToString(outcome.status)},
-                {"status", outcome.answer ? outcome.answer->status : 0}});
+    const auto [request, target] = searches_.AttemptOf(attempt);
+    auto running = running_.find(request);
+    log_.Write(
+        EventKind::kAttempt,
+        {{"request", running == running_.end()
+                         ? std::string()
+                         : running->second.request.forwarded->request_id},
+         {"attempt", attempt},
+         {"target", target},
+         {"outcome", ToString(outcome.status)},
+         {"status", outcome.answer ? outcome.answer->status : 0}});
   }
   searches_.OnOutcome(MonotonicNow(), attempt, outcome);
 }
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -20,9 +20,9 @@
 constexpr double kShedWeight = 0.05;
 // Share of an objective that passes before an attempt counts as slow.
 constexpr int kEarliestHedgePercent = 35;
-// The percentile after which hedges go out rises once less of the budget than
-// this is left.
-constexpr double kBudgetAtEase = 0.5;
+// The percentile after which hedges go out rises once what is left of the
+// budget is less than so many times what hedges at that percentile need.
+constexpr double kEaseFactor = 2.0;
 constexpr int kMedian = 50;
 constexpr int kSlowPercentile = 95;
 constexpr double kLastPercentile = 99.0;
@@ -75,7 +75,11 @@
   // The emptier the budget, the slower an attempt must be to get a hedge: what
   // is left goes to the worst stragglers, not to the first ones.
   const auto base = static_cast<double>(policy.hedge_percentile);
-  const double spent = 1.0 - std::min(1.0, budget_left / kBudgetAtEase);
+  const double needed =
+      (100.0 - base) /
+      std::max<double>(1.0, static_cast<double>(policy.extra_attempts_percent));
+  const double at_ease = std::clamp(kEaseFactor * needed, 0.1, 1.0);
+  const double spent = 1.0 - std::min(1.0, budget_left / at_ease);
   const double percentile = base + (kLastPercentile - base) * spent;
   auto learnt = latencies_.Percentile(static_cast<int>(percentile));
   const Duration objective = milliseconds(policy.objective_ms);
--- /dev/null
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -0,0 +1,394 @@
+#ifndef SNIPEWORKS_LIBSNIPEWORKS_MODEL_FLEET_TEST_H_
+#define SNIPEWORKS_LIBSNIPEWORKS_MODEL_FLEET_TEST_H_
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "snipeworks/random.h"
+#include "snipeworks/search_controller.h"
+
+namespace snipeworks {
+
+/// One target of a model fleet: slots, a queue, a speed, pauses on its own
+/// clock. Knows nothing of hosts.
+struct ModelTarget {
+  Announcement announcement;
+  std::size_t queue_limit = 18;
+  Duration work = std::chrono::milliseconds(20);
+  double slow = 1.0;
+  bool dark = false;  ///< Takes requests and never answers.
+  Duration pause{};
+  Duration pause_every{};
+  Duration pause_phase{};
+
+  struct Job {
+    std::size_t host = 0;
+    AttemptId attempt = 0;
+    AttemptCommand command;
+    bool ended = false;
+  };
+  std::deque<std::shared_ptr<Job>> waiting;
+  std::size_t running = 0;
+};
+
+/// What became of the requests of a replay.
+struct ReplayReport {
+  std::size_t asked = 0;
+  std::size_t in_time = 0;  ///< Answered by the objective.
+  std::size_t late = 0;     ///< Answered later.
+  std::size_t refused = 0;  ///< Told at once that they were not run.
+  std::size_t failed = 0;
+  std::size_t slow_refusals = 0;  ///< Refused after a quarter of the objective.
+  double coverage = 0.0;          ///< Mean share of parts in answers.
+  std::size_t arrivals = 0;       ///< Attempts that reached targets.
+  std::size_t extra = 0;          ///< Of those, beyond the first of a part.
+  /// Most extra arrivals of one group in 10 s, over what the fleet may send.
+  double worst_budget_use = 0.0;
+
+  double InTimeShare() const {
+    return asked == 0
+               ? 0.0
+               : static_cast<double>(in_time) / static_cast<double>(asked);
+  }
+};
+
+/// Replays a seeded trace of requests over real SearchControllers, one for each
+/// entry host, against model targets under a fake clock.
+class ModelFleet {
+ public:
+  ModelFleet(std::uint64_t seed, std::size_t hosts, std::size_t zones)
+      : random_(seed), zones_(zones) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      SearchControllerConfig config;
+      config.host = "entry-" + std::to_string(i);
+      config.fleet_hosts = static_cast<std::uint32_t>(hosts);
+      config.zone = ZoneOf(i);
+      config.seed = seed * 1000 + i;
+      config.spare_connections = 0;
+      config.leases = false;
+      hosts_.push_back(std::make_unique<SearchController>(config));
+    }
+  }
+
+  /// One target in each zone for each of `groups` groups "g0", "g1", ...
+  void AddTargets(std::size_t groups, const ModelTarget& like) {
+    for (std::size_t group = 0; group < groups; ++group) {
+      for (std::size_t zone = 0; zone < zones_; ++zone) {
+        ModelTarget target = like;
+        Announcement& news = target.announcement;
+        news.group = "g" + std::to_string(group);
+        news.target = news.group + "-" + std::to_string(zone);
+        news.zone = ZoneOf(zone);
+        news.address = "10.0.0.1:80";
+        news.incarnation = 1;
+        news.sequence = 1;
+        if (target.pause_every > Duration{}) {
+          target.pause_phase = Duration(static_cast<std::int64_t>(random_.Below(
+              static_cast<std::size_t>(target.pause_every.count()))));
+        }
+        targets_[news.target] = target;
+        for (auto& host : hosts_) {
+          host->Announce(now_, news);
+        }
+      }
+    }
+  }
+
+  ModelTarget& target(const std::string& name) { return targets_.at(name); }
+
+  /// `plan` is what requests ask for, `budget` their deadline.
+  std::shared_ptr<SearchPlan> NewPlan(std::size_t groups, Duration objective) {
+    auto plan = std::make_shared<SearchPlan>();
+    plan->name = "route";
+    plan->version = 1;
+    for (std::size_t i = 0; i < groups; ++i) {
+      plan->groups.push_back("g" + std::to_string(i));
+    }
+    GroupPolicy& policy = plan->policy;
+    const auto millis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(objective);
+    policy.answer = static_cast<std::int64_t>(AnswerRule::kSoftDeadline);
+    policy.soft_deadline_ms = millis.count();
+    policy.objective_ms = millis.count();
+    policy.min_coverage_permille = 890;
+    policy.max_attempts = 2;
+    policy.canary = static_cast<std::int64_t>(Canary::kOff);
+    policy.probe_silent = 0;
+    policy.slow_start_ms = 0;
+    policy.hedge_percentile = 95;
+    policy.extra_attempts_percent = 20;
+    policy.extra_attempts_slack = 58;
+    policy.other_zone_percent = 200;
+    policy.eject_ms = 1000;
+    return plan;
+  }
+
+  /// Sends `per_second` requests for `length`, each at a host drawn by lot,
+  /// some hosts twice as often as others; then lets all of them end.
+  ReplayReport Replay(const std::shared_ptr<const SearchPlan>& plan,
+                      double per_second,
+                      Duration length,
+                      Duration deadline = std::chrono::milliseconds(1500)) {
+    report_ = {};
+    coverage_sum_ = 0.0;
+    plan_ = plan;
+    const Instant end = now_ + length;
+    ScheduleNext(per_second, end, deadline);
+    Run(end + deadline + std::chrono::milliseconds(200));
+    const auto answered = static_cast<double>(report_.in_time + report_.late);
+    report_.coverage = answered > 0 ? coverage_sum_ / answered : 0.0;
+    report_.worst_budget_use = WorstBudgetUse();
+    return report_;
+  }
+
+ private:
+  struct Asked {
+    Instant at{};
+    std::map<PartNumber, int> parts;
+  };
+
+  std::string ZoneOf(std::size_t i) const {
+    return "zone-" + std::to_string(i % zones_);
+  }
+
+  void At(Instant when, std::function<void()> what) {
+    events_.emplace(when, std::move(what));
+  }
+
+  void ScheduleNext(double per_second, Instant end, Duration deadline) {
+    const double gap = -std::log(1.0 - random_.Unit()) / per_second;
+    const Instant when = now_ + Duration(static_cast<std::int64_t>(gap * 1e6));
+    if (when >= end) {
+      return;
+    }
+    At(when, [this, per_second, end, deadline] {
+      const std::size_t host = std::min(random_.Below(hosts_.size()),
+                                        random_.Below(hosts_.size() * 2)) %
+                               hosts_.size();
+      SearchRequest request;
+      request.id = next_request_++;
+      request.group = plan_->name;
+      request.plan = plan_;
+      request.budget = deadline;
+      auto forwarded = std::make_shared<ForwardedRequest>();
+      forwarded->fingerprint = request.id;
+      request.forwarded = forwarded;
+      asked_[request.id].at = now_;
+      ++report_.asked;
+      hosts_[host]->Submit(now_, request);
+      Drain(host);
+      ScheduleNext(per_second, end, deadline);
+    });
+  }
+
+  void Run(Instant until) {
+    while (now_ < until) {
+      Instant next = until;
+      if (!events_.empty()) {
+        next = std::min(next, events_.begin()->first);
+      }
+      for (const auto& host : hosts_) {
+        if (auto due = host->NextDue()) {
+          next = std::min(next, *due);
+        }
+      }
+      now_ = std::max(now_, next);
+      while (!events_.empty() && events_.begin()->first <= now_) {
+        auto node = events_.extract(events_.begin());
+        node.mapped()();
+      }
+      for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        const auto due = hosts_[i]->NextDue();
+        if (due && *due <= now_) {
+          hosts_[i]->Tick(now_);
+          Drain(i);
+        }
+      }
+    }
+  }
+
+  void Drain(std::size_t host) {
+    for (const SearchAction& action : hosts_[host]->TakeActions()) {
+      if (const auto* start = std::get_if<StartAttempt>(&action)) {
+        Send(host, start->command);
+      } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+        Cancel(host, cancel->id);
+      } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
+        Finish(*finish);
+      }
+    }
+  }
+
+  Duration LinkTo(std::size_t host, const ModelTarget& target) const {
+    return ZoneOf(host) == target.announcement.zone ? Duration(200)
+                                                    : Duration(900);
+  }
+
+  void Send(std::size_t host, const AttemptCommand& command) {
+    ModelTarget& target = targets_.at(command.target);
+    auto job = std::make_shared<ModelTarget::Job>();
+    job->host = host;
+    job->attempt = command.id;
+    job->command = command;
+    jobs_[{host, command.id}] = job;
+    At(now_ + LinkTo(host, target), [this, job, &target] {
+      if (job->ended) {
+        return;
+      }
+      ++report_.arrivals;
+      const int before =
+          asked_[job->command.request].parts[job->command.part]++;
+      primary_[target.announcement.group].push_back({now_, before > 0});
+      report_.extra += before > 0 ? 1 : 0;
+      if (target.dark) {
+        return;
+      }
+      if (target.waiting.size() >= target.queue_limit) {
+        Answer(job, AttemptStatus::kShed);
+        return;
+      }
+      target.waiting.push_back(job);
+      Work(target);
+    });
+  }
+
+  void Work(ModelTarget& target) {
+    while (target.running < target.announcement.slots &&
+           !target.waiting.empty()) {
+      const auto job = target.waiting.front();
+      target.waiting.pop_front();
+      if (job->ended) {
+        continue;
+      }
+      ++target.running;
+      // Between a half and one and a half of the work, rarely five times it.
+      double share = 0.5 + random_.Unit();
+      share *= random_.Below(100) == 0 ? 5.0 : 1.0;
+      const auto work = Duration(static_cast<std::int64_t>(
+          static_cast<double>(target.work.count()) * share * target.slow));
+      At(now_ + work + PauseIn(target, work), [this, job, &target] {
+        --target.running;
+        Answer(job, AttemptStatus::kAnswered);
+        Work(target);
+      });
+    }
+  }
+
+  // The part of a pause that falls into work that begins now.
+  Duration PauseIn(const ModelTarget& target, Duration work) const {
+    if (target.pause_every == Duration{}) {
+      return {};
+    }
+    const Duration place(
+        (now_.time_since_epoch() + target.pause_phase).count() %
+        target.pause_every.count());
+    if (place < target.pause) {
+      return target.pause - place;
+    }
+    return place + work > target.pause_every ? target.pause : Duration{};
+  }
+
+  void Answer(const std::shared_ptr<ModelTarget::Job>& job,
+              AttemptStatus status) {
+    if (job->ended) {
+      return;
+    }
+    const ModelTarget& target = targets_.at(job->command.target);
+    AttemptOutcome outcome;
+    outcome.status = status;
+    outcome.snapshot = job->command.snapshot;
+    outcome.part = job->command.part;
+    outcome.documents = 1;
+    outcome.load =
+        ReportedLoad{static_cast<std::uint32_t>(target.running),
+                     static_cast<std::uint32_t>(target.waiting.size()),
+                     target.announcement.slots};
+    if (status == AttemptStatus::kAnswered) {
+      outcome.answer = std::make_shared<TargetAnswer>();
+    }
+    At(now_ + LinkTo(job->host, target),
+       [this, job, outcome] { End(job, outcome); });
+  }
+
+  void Cancel(std::size_t host, AttemptId attempt) {
+    auto found = jobs_.find({host, attempt});
+    if (found != jobs_.end()) {
+      const auto job = found->second;
+      At(now_, [this, job] { End(job, {AttemptStatus::kCancelled}); });
+    }
+  }
+
+  void End(const std::shared_ptr<ModelTarget::Job>& job,
+           const AttemptOutcome& outcome) {
+    if (std::exchange(job->ended, true)) {
+      return;
+    }
+    jobs_.erase({job->host, job->attempt});
+    hosts_[job->host]->OnOutcome(now_, job->attempt, outcome);
+    Drain(job->host);
+  }
+
+  void Finish(const FinishSearch& finish) {
+    const Duration took = now_ - asked_[finish.id].at;
+    const Duration objective =
+        std::chrono::milliseconds(plan_->policy.soft_deadline_ms);
+    if (finish.result) {
+      const Coverage& coverage = finish.result->coverage;
+      coverage_sum_ += static_cast<double>(coverage.parts_answered) /
+                       static_cast<double>(coverage.parts_total);
+      // Timers fire at the objective itself.
+      (took <= objective + std::chrono::milliseconds(1) ? report_.in_time
+                                                        : report_.late) += 1;
+    } else if (RowOf(finish.result.error().kind).ran == Ran::kNo) {
+      ++report_.refused;
+      report_.slow_refusals += took > objective / 4 ? 1 : 0;
+    } else {
+      ++report_.failed;
+    }
+  }
+
+  // Of each window that ends with an arrival, as the whole fleet is bound.
+  double WorstBudgetUse() const {
+    const ExtraBudgetLimits whole = plan_->policy.extra_limits();
+    double worst = 0.0;
+    for (const auto& [group, arrivals] : primary_) {
+      for (std::size_t end = 0; end < arrivals.size(); end += 50) {
+        double primary = 0;
+        double extra = 0;
+        for (const auto& [when, again] : arrivals) {
+          const bool inside = when <= arrivals[end].first &&
+                              when > arrivals[end].first - whole.window;
+          (again ? extra : primary) += inside ? 1 : 0;
+        }
+        worst = std::max(worst, extra / (whole.ratio * primary + whole.slack));
+      }
+    }
+    return worst;
+  }
+
+  Random random_;
+  std::size_t zones_;
+  Instant now_{std::chrono::seconds(1000)};
+  std::vector<std::unique_ptr<SearchController>> hosts_;
+  std::map<std::string, ModelTarget> targets_;
+  std::multimap<Instant, std::function<void()>> events_;
+  std::map<std::pair<std::size_t, AttemptId>, std::shared_ptr<ModelTarget::Job>>
+      jobs_;
+  std::unordered_map<RequestId, Asked> asked_;
+  std::map<std::string, std::vector<std::pair<Instant, bool>>> primary_;
+  std::shared_ptr<const SearchPlan> plan_;
+  RequestId next_request_ = 1;
+  ReplayReport report_;
+  double coverage_sum_ = 0.0;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_LIBSNIPEWORKS_MODEL_FLEET_TEST_H_
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -104,6 +104,11 @@
   return impl_->selector().ConnectionShare(target);
 }
 
+std::pair<RequestId, std::string> SearchController::AttemptOf(
+    AttemptId attempt) const {
+  return impl_->AttemptOf(attempt);
+}
+
 std::size_t SearchController::running() const {
   return impl_->running();
 }
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -209,6 +209,12 @@
     skip(choice.state == ReplicaChoice::State::kBusy ? "busy" : "no-replica");
     return;
   }
+  // Where the other replicas have no free slot either, it is load that makes
+  // the attempt slow, and a hedge would add to it.
+  if (selector_.Stats(choice.target->target)->WouldQueue(now)) {
+    skip("load");
+    return;
+  }
   if (!TakeExtra(now, group.policy, run.target_group, kRetryReserve)) {
     skip("budget");
     return;
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -10,6 +10,9 @@
 using std::chrono::milliseconds;
 
 constexpr double kSlownessWeight = 0.2;
+// A loser of a hedge says more: two of them in a row show a slow target, where
+// one may only have met a pause.
+constexpr double kLoserWeight = 0.35;
 constexpr double kFailureWeight = 0.2;
 // An observation loses half its say in this time.
 constexpr Duration kObservationHalfLife = milliseconds(2000);
@@ -100,7 +103,7 @@
       static_cast<double>(std::max<std::int64_t>(1, usual.count()));
   switch (outcome.status) {
     case AttemptStatus::kAnswered:
-      Observe(now, slowness);
+      Observe(now, slowness, kSlownessWeight);
       ObserveFailure(now, false);
       OnHealthy(outcome, latency);
       return;
@@ -123,7 +126,7 @@
     case AttemptStatus::kCancelled:
       // The loser of a hedge was at least this slow.
       if (slowness > slowness_) {
-        Observe(now, slowness);
+        Observe(now, slowness, kLoserWeight);
       }
       return;
     case AttemptStatus::kDraining:
@@ -134,11 +137,10 @@
 }
 
 // What was seen fades with time, so an old mean starts from the usual again.
-void TargetStats::Observe(Instant now, double slowness) {
+void TargetStats::Observe(Instant now, double slowness, double weight) {
   const double trust = Fade(now - slowness_at_, kObservationHalfLife);
   const double mean = 1.0 + trust * (slowness_ - 1.0);
-  slowness_ =
-      mean + kSlownessWeight * (std::min(slowness, kMaxSlowness) - mean);
+  slowness_ = mean + weight * (std::min(slowness, kMaxSlowness) - mean);
   slowness_at_ = now;
 }
 
@@ -157,7 +159,10 @@
   stalled_until_ = Instant{};
   failures_in_row_ = 0;
   ejections_ = 0;
-  const bool queued = outcome.queue_time * 2 > latency;
+  // Each host sees its own attempts alone: what waits at the target tells what
+  // all of them together have sent too much.
+  const bool told = outcome.load && outcome.load->waiting >= slots_;
+  const bool queued = told || outcome.queue_time * 2 > latency;
   if (queued) {
     limit_ = std::max(1.0, limit_ * kLimitCutOnQueue);
   } else {
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -6,11 +6,8 @@
 #include <random>
 #include <utility>
 
-#include <xxhash.h>
 #include <nlohmann/json.hpp>
 
-#include "snipeworks/record_merge.h"
-
 namespace snipeworks {
 
 namespace {
@@ -23,6 +20,25 @@
 // Work takes between half and one and a half of its plan.
 constexpr double kLeastWork = 0.5;
 
+// FNV-1a: a checker in any language can compute it again.
+constexpr std::uint64_t kFnvBasis = 14695981039346656037ULL;
+constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+
+std::uint64_t Fnv(const std::string& text, std::uint64_t hash) {
+  for (unsigned char byte : text) {
+    hash = (hash ^ byte) * kFnvPrime;
+  }
+  return hash;
+}
+
+std::string BigEndian(std::uint64_t value) {
+  std::string bytes;
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    bytes += static_cast<char>(value >> shift);
+  }
+  return bytes;
+}
+
 std::uint64_t WallMilliseconds() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(
@@ -40,10 +56,8 @@
   for (std::size_t i = 0; i < count; ++i) {
     const std::string text =
         group + '\n' + method + '\n' + target + '\n' + std::to_string(i);
-    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-    XXH128_canonical_t bytes;
-    XXH128_canonicalFromHash(&bytes, hash);
-    records.append(reinterpret_cast<const char*>(bytes.digest), kRecordBytes);
+    records += BigEndian(Fnv(text, kFnvBasis));
+    records += BigEndian(Fnv(text, kFnvBasis + 1));
   }
   return records;
 }
@@ -168,7 +182,7 @@
   call.timeout = kReportTimeout;
   call.body =
       nlohmann::json{{names.group, plan_.group},
-                     {names.address, plan_.address.ToString()},
+                     {names.address, plan_.reported.ToString()},
                      {names.zone, plan_.zone},
                      {names.slots, plan_.slots},
                      {names.state, draining_ ? names.draining : names.serving},
--- a/src/snipe-backend/backend.h
+++ b/src/snipe-backend/backend.h
@@ -22,6 +22,7 @@
   std::string group;
   std::string zone;
   Address address;
+  Address reported;  ///< Where it says that it is: a proxy may stand there.
   std::vector<std::string> controls;  ///< "IP:port" of control hosts.
   std::uint32_t slots = 3;
   std::uint32_t queue = 16;  ///< Requests that may wait; more are refused.
--- a/src/snipe-backend/main.cpp
+++ b/src/snipe-backend/main.cpp
@@ -40,6 +40,8 @@
       cxxopts::value<std::string>())("first-port",
                                      "Port of the first target on 127.0.0.1",
                                      cxxopts::value<std::uint16_t>())(
+      "reported-port", "Port that the first target reports, if another",
+      cxxopts::value<std::uint16_t>())(
       "zone", "Zone of the targets",
       cxxopts::value<std::string>()->default_value("zone-1"))(
       "slots", "Requests that a target runs at once",
@@ -52,23 +54,30 @@
   if (parsed.exit) {
     return parsed.exit_code;
   }
-  for (const char* needed : {"groups", "controls", "first-port"}) {
-    if (parsed.result.count(needed) == 0) {
-      return UsageError("snipe-backend",
-                        std::string("--") + needed + " is needed");
+  const std::vector<std::string> needed = {"groups", "controls", "first-port"};
+  for (const std::string& option : needed) {
+    if (parsed.result.count(option) == 0) {
+      return UsageError("snipe-backend", option + " is needed");
     }
   }
   std::ofstream history(parsed.result["history"].as<std::string>(),
                         std::ios::app);
+  auto port = parsed.result["first-port"].as<std::uint16_t>();
+  std::uint16_t reported_port =
+      parsed.result.count("reported-port") > 0
+          ? parsed.result["reported-port"].as<std::uint16_t>()
+          : port;
   EventLoop loop;
   std::vector<std::unique_ptr<Backend>> backends;
-  auto port = parsed.result["first-port"].as<std::uint16_t>();
   for (const std::string& group :
        Split(parsed.result["groups"].as<std::string>(), ',')) {
     BackendPlan plan;
     plan.group = group;
     plan.zone = parsed.result["zone"].as<std::string>();
-    plan.address = {"127.0.0.1", port++};
+    plan.address = {"127.0.0.1", port};
+    plan.reported = {"127.0.0.1", reported_port};
+    ++port;
+    ++reported_port;
     plan.controls = Split(parsed.result["controls"].as<std::string>(), ',');
     plan.slots = parsed.result["slots"].as<std::uint32_t>();
     plan.work = Duration(parsed.result["work-us"].as<std::int64_t>());
--- a/src/snipectl/main.cpp
+++ b/src/snipectl/main.cpp
@@ -1,6 +1,7 @@
 // snipectl: the operators' command line.
 
 #include <array>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <random>
@@ -8,6 +9,7 @@
 
 #include "control_calls.h"
 #include "exceptions_edit.h"
+#include "explain.h"
 #include "snipeworks/fleet_settings.h"
 #include "snipeworks/json_reader.h"
 #include "snipeworks/program.h"
@@ -37,6 +39,8 @@
   control status                      control hosts
   control add HOST IP:PORT            invite a control host
   control remove HOST
+  explain REQUEST [FILE...]           what became of a request, from hosts'
+                                      event logs, or from standard input
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict, 4 no host could answer.
 )";
 
@@ -438,6 +442,25 @@
   bool json_;
 };
 
+int Explain(const std::vector<std::string>& words) {
+  if (words.empty()) {
+    return UsageError(kName, "explain needs the id of a request");
+  }
+  Explanation explanation(words[0]);
+  for (std::size_t i = 1; i < words.size(); ++i) {
+    std::ifstream file(words[i]);
+    if (!file) {
+      return UsageError(kName, words[i] + ": cannot be read");
+    }
+    explanation.Read(file);
+  }
+  if (words.size() == 1) {
+    explanation.Read(std::cin);
+  }
+  std::cout << explanation.Text();
+  return explanation.found() ? kExitOk : kExitFailed;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options = ProgramOptions(kName, kHelp);
   options.positional_help("COMMAND...");
@@ -471,6 +494,10 @@
         {"control-" + std::to_string(controls.size() + 1), "", *address});
   }
   const auto entries = SplitCommas(parsed.result["entries"].as<std::string>());
+  const auto words = parsed.result["words"].as<std::vector<std::string>>();
+  if (!words.empty() && words[0] == "explain") {
+    return Explain({words.begin() + 1, words.end()});
+  }
   ControlCalls calls(controls, entries);
   return Commands(parsed.result, calls).Run();
 }
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -64,6 +64,21 @@
     check(time.monotonic() - started < 1.0, "at once")
     slow.close()
 
+    log = fleet.path("events.log")
+    with open(log, "w", encoding="utf-8") as file:
+        file.write('{"time":2,"host":"e1","event":"request","request":"r1","outcome":"partial",'
+                   '"missing":"g4:late"}\nnot an event\n'
+                   '{"time":1,"host":"e1","event":"hedge_skipped","request":"r1","target":"t9",'
+                   '"reason":"budget"}\n'
+                   '{"time":1.5,"host":"e1","event":"target_changed","target":"t9","state":"gone"}\n'
+                   '{"time":1.6,"host":"e1","event":"target_changed","target":"t8"}\n')
+    code, text = run(fleet, "snipectl", "explain", "r1", log)
+    lines = text.splitlines()
+    check(code == 0 and len(lines) == 4 and "state=gone" in lines[1], text)
+    check(lines[3] == "cause: partial; missing g4:late; no hedge beside t9: budget", text)
+    code, text = run(fleet, "snipectl", "explain", "r2", log)
+    check(code == 1 and "sampled out" in text, text)
+
     docs = os.path.join(os.path.dirname(fleet_module.__file__), "..", "docs")
     with open(os.path.join(docs, "settings.md"), encoding="utf-8") as file:
         reference = file.read()
--- /dev/null
+++ b/testsuite/forward.py
@@ -0,0 +1,226 @@
+"""Starts a forwarding deployment on loopback: control hosts, entry hosts, targets.
+
+Entry hosts and control hosts each have an address of their own in 127.0.0.0/8, as
+peers use one port on all hosts. Every process is ended by its own id.
+"""
+
+import hashlib
+import json
+import os
+import signal
+import tempfile
+import time
+from http.client import HTTPConnection, HTTPException
+
+import fleet as fleet_module
+from fleet import Process, check, http, wait_for
+
+RECORD = 16
+RECORDS = 8
+
+
+class Deployment:
+    def __init__(self, programs, controls=3, entries=2, zones=3, groups=4, network=31,
+                 slots=3, work_us=4000, folder=None):
+        self.programs = programs
+        self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-forward-")
+        self.network = network
+        self.first_port = 12000 + 100 * network
+        self.zones = [f"zone-{i + 1}" for i in range(zones)]
+        self.groups = [f"part-{i + 1}" for i in range(groups)]
+        self.controls = [f"127.0.{network}.{i + 1}" for i in range(controls)]
+        self.entries = [f"127.0.{network}.{i + 101}" for i in range(entries)]
+        self.slots = slots
+        self.work_us = work_us
+        self.processes = {}
+        self.version = 0
+        self.proxies = []  # Between entry hosts and targets, if there are any.
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def settings(self, name, address, zone, **more):
+        document = {
+            "host": name, "zone": zone, "http": f"{address}:8000", "peer": f"{address}:7000",
+            "metrics": f"{address}:9000", "report_interval_ms": 500,
+            "control_seeds": [f"{one}:8000" for one in self.controls[:3]]}
+        document.update(more)
+        with open(self.path(f"{name}.jsonc"), "w", encoding="utf-8") as file:
+            json.dump(document, file)
+        return self.path(f"{name}.jsonc")
+
+    def launch(self, name, program, *arguments):
+        command = [os.path.join(self.programs, program)] + list(arguments)
+        self.processes[name] = Process(name, command, self.path(f"{name}.log"))
+
+    def start(self, proxy=None):
+        """`proxy(listen, forward_to)` makes what stands before each target."""
+        for i, address in enumerate(self.controls):
+            name = f"control-{i + 1}"
+            path = self.settings(name, address, self.zones[i % len(self.zones)], first_start=True,
+                                 automatic_members=True, data_folder=self.path(name))
+            self.launch(name, "snipe-control", "--settings", path)
+        for i, address in enumerate(self.entries):
+            name = f"entry-{i + 1}"
+            path = self.settings(
+                name, address, self.zones[i % len(self.zones)], ready=f"{address}:8001",
+                shutdown_hold_ms=300, shutdown_limit_ms=6000, answer_margin_ms=10,
+                policy={"canary": 2, "probe_silent": 0, "slow_start_ms": 0,
+                        "hedge_percentile": 95, "extra_attempts_percent": 20,
+                        "extra_attempts_slack": 60, "other_zone_percent": 200, "eject_ms": 500})
+            self.launch(name, "snipe-forward", "--settings", path)
+        for i, zone in enumerate(self.zones):
+            port = self.first_port + 20 * i
+            if proxy:
+                self.proxies += [proxy(("127.0.0.1", port + 10 + j), ("127.0.0.1", port + j))
+                                 for j in range(len(self.groups) + 1)]
+            self.start_targets(f"targets-{zone}", zone, port, port + (10 if proxy else 0))
+        # Settings files say that it is the first start only once.
+        wait_for("a first version is taken", lambda: self.replace(self.routes()) == 200, 20)
+        for i, address in enumerate(self.controls):
+            self.settings(f"control-{i + 1}", address, self.zones[i % len(self.zones)],
+                          automatic_members=True, data_folder=self.path(f"control-{i + 1}"))
+        for address in self.entries:
+            wait_for(f"{address} is ready",
+                     lambda a=address: http("GET", f"{a}:8001", "/ready", timeout=1.0)[0] == 200, 20)
+        wait_for("every part answers", lambda: self.whole(), 20)
+
+    def start_targets(self, name, zone, first_port, reported_port):
+        self.launch(name, "snipe-backend", "--groups", ",".join(self.groups + ["orders"]),
+                    "--controls", ",".join(f"{one}:8000" for one in self.controls),
+                    "--first-port", str(first_port),
+                    "--reported-port", str(reported_port), "--zone", zone, "--slots", str(self.slots),
+                    "--work-us", str(self.work_us), "--history", self.path(f"{name}.history"))
+
+    def routes(self, **changes):
+        """The routes of a version; a value of None drops a route."""
+        routes = {
+            "search": {"host": "search.test", "path_prefix": "/", "kind": "repeatable",
+                       "timeout_ms": 2000, "objective_ms": 200, "rank": 1,
+                       "shards": self.groups, "max_attempts": 2, "top_records": 10,
+                       "min_shard_share": 0.5},
+            "orders": {"host": "orders.test", "path_prefix": "/", "kind": "once",
+                       "timeout_ms": 2000, "objective_ms": 500, "rank": 1, "group": "orders",
+                       "max_attempts": 3}}
+        routes.update(changes)
+        return [{"name": name, **route} for name, route in routes.items() if route]
+
+    def document(self, routes):
+        self.version += 1
+        return {"version": self.version, "routes": routes,
+                "groups": [{"name": name, "max_connections": 30}
+                           for name in self.groups + ["orders"]],
+                "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 15000}}
+
+    def replace(self, routes, control=None):
+        """Sends a new version to one control host; returns the status."""
+        address = control or self.controls[self.version % len(self.controls)]
+        return http("POST", f"{address}:8000", "/v1/routing/replace", self.document(routes),
+                    {"Content-Type": "application/json"}, timeout=5.0)[0]
+
+    def read(self, control):
+        status, _, body = http("GET", f"{control}:8000", "/v1/routing", timeout=2.0)
+        return json.loads(body) if status == 200 else None
+
+    def whole(self):
+        answer = Call(self.entries[0], "search.test", "/ready-check").finish()
+        return answer.status == 200 and answer.missing == 0
+
+    def runs(self):
+        """How often each request id was begun, and when last, by all targets."""
+        begun = {}
+        for name in os.listdir(self.folder):
+            if not name.endswith(".history"):
+                continue
+            with open(self.path(name), encoding="utf-8") as file:
+                for line in file:
+                    try:
+                        event = json.loads(line)
+                    except ValueError:
+                        continue  # The last line of a target that was killed.
+                    if event["event"] == "run":
+                        begun.setdefault(event["request"], []).append(event)
+        return begun
+
+    def stop(self):
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.kill()
+
+
+def records_of(group, method, target, digests):
+    """What any target of a group answers, as the stand-in computes it."""
+    key = (group, method, target)
+    if key not in digests:
+        import xxhash128  # Replaced by the check of signatures where it is missing.
+        digests[key] = b"".join(xxhash128.digest(f"{group}\n{method}\n{target}\n{i}")
+                                for i in range(RECORDS))
+    return digests[key]
+
+
+class Call:
+    """One request to an entry host, with what came back."""
+
+    def __init__(self, entry, host, target, method="GET", body=None, deadline_ms=2000,
+                 connection=None):
+        self.id = hashlib.md5(os.urandom(16)).hexdigest()[:16]
+        self.entry, self.host, self.target, self.method = entry, host, target, method
+        self.body, self.deadline_ms = body, deadline_ms
+        self.connection = connection
+        self.status, self.headers, self.answer = 0, {}, b""
+        self.missing, self.signatures = None, []
+        self.took = 0.0
+
+    def finish(self):
+        started = time.monotonic()
+        connection = self.connection or HTTPConnection(
+            self.entry, 8000, timeout=self.deadline_ms / 1000 + 1.5)
+        try:
+            connection.request(self.method, self.target, body=self.body, headers={
+                "Host": self.host, "Snipe-Request-Id": self.id,
+                "Snipe-Deadline-Ms": str(self.deadline_ms)})
+            reply = connection.getresponse()
+            self.answer = reply.read()
+            self.status, self.headers = reply.status, dict(reply.getheaders())
+        except (OSError, HTTPException):
+            self.status = 0
+            connection.close()
+        self.took = time.monotonic() - started
+        if self.connection is None:
+            connection.close()
+        if "Snipe-Part-Signatures" in self.headers:
+            self.signatures = self.headers["Snipe-Part-Signatures"].split(", ")
+            self.missing = int(self.headers["Snipe-Missing-Parts"])
+        return self
+
+    def faults(self, groups):
+        """What is wrong with a success over all shards, if anything."""
+        if self.status != 200 or self.missing is None:
+            return None
+        named = [one.split(".")[0] for one in self.signatures]
+        if any(one.split(".")[1] != self.id for one in self.signatures):
+            return "a part answers another request"
+        if len(set(named)) != len(named) or not set(named) <= set(groups):
+            return "a part stands twice, or is of no shard"
+        if len(named) + self.missing != len(groups):
+            return "the parts do not make up the set"
+        records = [self.answer[i:i + RECORD] for i in range(0, len(self.answer), RECORD)]
+        if records != sorted(records, reverse=True) or len(records) != min(10, RECORDS * len(named)):
+            return "the records are not the greatest, in order"
+        return None
+
+
+def run_case(case, **options):
+    import sys
+    deployment = Deployment(sys.argv[1], **options)
+    try:
+        deployment.start()
+        case(deployment)
+    except Exception:
+        for name in sorted(deployment.processes):
+            with open(deployment.path(f"{name}.log"), "rb") as file:
+                print(f"--- {name}\n" + file.read()[-1500:].decode(errors="replace"))
+        raise
+    finally:
+        deployment.stop()
+        print(f"logs in {deployment.folder}")
