--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -74,7 +74,9 @@
   void OnReplace(ExchangeId exchange, const ReplaceRouting& change);
   void OnReadRouting(ExchangeId exchange);
   void AnswerRead(ExchangeId exchange, const ReadReply& reply);
-  void Decide(std::string command, Instant give_up, OnDecided done);
+  void Decide(const std::string& command,
+              Instant give_up,
+              const OnDecided& done);
   void Answer(ExchangeId exchange, const std::string& body);
   void AnswerError(ExchangeId exchange, const Error& error);
 
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -88,14 +88,14 @@
   }
 
   const json& ArrayOr(const std::string& name) {
-    static const json kEmpty = json::array();
+    static const json empty = json::array();
     const json* value = Find(name);
     if (value == nullptr) {
-      return kEmpty;
+      return empty;
     }
     if (!value->is_array()) {
       Note(name, "must be a list");
-      return kEmpty;
+      return empty;
     }
     return *value;
   }
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -651,7 +651,9 @@
 
 // The command names its own version, so a second try after a lost answer
 // changes nothing.
-void ControlHost::Decide(std::string command, Instant give_up, OnDecided done) {
+void ControlHost::Decide(const std::string& command,
+                         Instant give_up,
+                         const OnDecided& done) {
   const Instant now = MonotonicNow();
   if (now >= give_up) {
     done(std::nullopt);
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -179,7 +179,7 @@
   return !leaving_ && planner_.table() != nullptr && feed_.informed();
 }
 
-void ForwardHost::Leave(std::function<void()> done) {
+void ForwardHost::Leave(const std::function<void()>& done) {
   if (std::exchange(leaving_, true)) {
     return;
   }
--- a/src/libsnipeworks/routing.cpp
+++ b/src/libsnipeworks/routing.cpp
@@ -83,8 +83,10 @@
   }
   for (const std::string& group : named) {
     if (!known.contains(group)) {
-      return Fail(ErrorKind::kBadRequest,
-                  where + "names the unknown group " + group);
+      std::string reason = where;
+      reason += "names the unknown group ";
+      reason += group;
+      return Fail(ErrorKind::kBadRequest, std::move(reason));
     }
   }
   if (!route.groups.empty() && weights == 0) {
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -53,9 +53,14 @@
                       const std::string& target,
                       std::size_t count) {
   std::string records;
+  std::string key = group;
+  key += '\n';
+  key += method;
+  key += '\n';
+  key += target;
+  key += '\n';
   for (std::size_t i = 0; i < count; ++i) {
-    const std::string text =
-        group + '\n' + method + '\n' + target + '\n' + std::to_string(i);
+    const std::string text = key + std::to_string(i);
     records += BigEndian(Fnv(text, kFnvBasis));
     records += BigEndian(Fnv(text, kFnvBasis + 1));
   }
