Stop hedges at any refusal where there is no objective

Cause: the share of refusals that stops hedges, made for routes with an objective, had replaced the product's rule, and Hedges.StopWhileTargetsShed failed. Change: without an objective any refusal stops hedges for a second, as before; the test stays as it was.

--- a/src/include/snipeworks/group_state.h
+++ b/src/include/snipeworks/group_state.h
@@ -42,13 +42,13 @@
   /// When an attempt counts as slow; nothing while hedging is off, unlearnt,
   /// or unwise because targets shed. `budget_left` is the share of the budget
   /// for extra attempts that has not been spent.
-  std::optional<Duration> HedgeDelay(double budget_left) const;
+  std::optional<Duration> HedgeDelay(Instant now, double budget_left) const;
 
   /// How long an attempt may be silent before its connection is doubted.
   Duration ProbeDelay() const;
 
   void OnLatency(Duration latency) { latencies_.Add(latency); }
-  void OnOutcome(AttemptStatus status);
+  void OnOutcome(Instant now, AttemptStatus status);
   /// When a request used this group last.
   Instant used_at() const { return used_at_; }
 
@@ -70,6 +70,8 @@
   GroupPolicy policy;
 
  private:
+  bool TargetsShed(Instant now) const;
+
   std::string name_;
   LatencyWindow latencies_;
   std::shared_ptr<const PinnedSnapshot> snapshot_;
@@ -78,6 +80,7 @@
   Instant used_at_{};
   Instant computed_at_{};
   double shed_share_ = 0.0;  ///< Of the latest attempts.
+  Instant shed_at_{};
   Instant busy_since_{};
   Instant busy_at_{};
   DecayedRate dispatched_;
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kMinHedgeDelay = milliseconds(2);
 constexpr Duration kMinProbeDelay = milliseconds(20);
 constexpr int kProbeDelayFactor = 3;
+constexpr Duration kNoHedgesAfterShed = milliseconds(1000);
 // A hedge adds to the load of targets that refuse so much of it.
 constexpr double kShedShareWithoutHedges = 0.3;
 constexpr double kShedWeight = 0.05;
@@ -68,8 +69,9 @@
   return latencies_.Percentile(kMedian).value_or(kUnlearntReference);
 }
 
-std::optional<Duration> GroupState::HedgeDelay(double budget_left) const {
-  if (policy.hedge_percentile == 0 || shed_share_ > kShedShareWithoutHedges) {
+std::optional<Duration> GroupState::HedgeDelay(Instant now,
+                                               double budget_left) const {
+  if (policy.hedge_percentile == 0 || TargetsShed(now)) {
     return std::nullopt;
   }
   // The emptier the budget, the slower an attempt must be to get a hedge: what
@@ -100,8 +102,21 @@
   return std::max(kMinProbeDelay, slow * kProbeDelayFactor);
 }
 
-void GroupState::OnOutcome(AttemptStatus status) {
+// Without an objective hedges only shorten the tail, so any refusal stops them
+// for a while. With one, an answer is lost without them, and a few targets that
+// refuse must not stop them everywhere.
+bool GroupState::TargetsShed(Instant now) const {
+  if (policy.objective_ms == 0) {
+    return shed_at_ != Instant{} && now - shed_at_ < kNoHedgesAfterShed;
+  }
+  return shed_share_ > kShedShareWithoutHedges;
+}
+
+void GroupState::OnOutcome(Instant now, AttemptStatus status) {
   const double shed = status == AttemptStatus::kShed ? 1.0 : 0.0;
+  if (status == AttemptStatus::kShed) {
+    shed_at_ = now;
+  }
   shed_share_ += kShedWeight * (shed - shed_share_);
 }
 
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -65,7 +65,7 @@
   const GroupState& group = EnsureGroup(run.group);
   const double left =
       extra_budgets_[run.target_group].Fullness(now, ExtraLimits(group.policy));
-  return group.HedgeDelay(left);
+  return group.HedgeDelay(now, left);
 }
 
 void SearchEngine::PruneGroups(Instant now) {
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -29,7 +29,7 @@
       outcome.status == AttemptStatus::kCancelled) {
     group.OnLatency(latency);
   }
-  group.OnOutcome(outcome.status);
+  group.OnOutcome(now, outcome.status);
   if (outcome.status == AttemptStatus::kWrongTarget) {
     TakeWrongTarget(now, run);
   }
