Give each forwarding deployment an address of its own for its targets

Cause: stand-in targets of the soak listened on ports that other cases use. Change: targets of a deployment are at 127.0.N.200.

--- a/src/snipe-backend/main.cpp
+++ b/src/snipe-backend/main.cpp
@@ -37,9 +37,11 @@
   options.add_options()("groups", "Groups, with commas: one target each",
                         cxxopts::value<std::string>())(
       "controls", "Control hosts as IP:port, with commas",
-      cxxopts::value<std::string>())("first-port",
-                                     "Port of the first target on 127.0.0.1",
-                                     cxxopts::value<std::uint16_t>())(
+      cxxopts::value<std::string>())(
+      "address", "IP of the targets",
+      cxxopts::value<std::string>()->default_value("127.0.0.1"))(
+      "first-port", "Port of the first target",
+      cxxopts::value<std::uint16_t>())(
       "reported-port", "Port that the first target reports, if another",
       cxxopts::value<std::uint16_t>())(
       "zone", "Zone of the targets",
@@ -74,8 +76,9 @@
     BackendPlan plan;
     plan.group = group;
     plan.zone = parsed.result["zone"].as<std::string>();
-    plan.address = {"127.0.0.1", port};
-    plan.reported = {"127.0.0.1", reported_port};
+    const auto ip = parsed.result["address"].as<std::string>();
+    plan.address = {ip, port};
+    plan.reported = {ip, reported_port};
     ++port;
     ++reported_port;
     plan.controls = Split(parsed.result["controls"].as<std::string>(), ',');
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -25,7 +25,8 @@
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-forward-")
         self.network = network
-        self.first_port = 12000 + 100 * network
+        self.target_address = f"127.0.{network}.200"
+        self.first_port = 20000
         self.zones = [f"zone-{i + 1}" for i in range(zones)]
         self.groups = [f"part-{i + 1}" for i in range(groups)]
         self.controls = [f"127.0.{network}.{i + 1}" for i in range(controls)]
@@ -72,7 +73,8 @@
         for i, zone in enumerate(self.zones):
             port = self.first_port + 20 * i
             if proxy:
-                self.proxies += [proxy(("127.0.0.1", port + 10 + j), ("127.0.0.1", port + j))
+                here = self.target_address
+                self.proxies += [proxy((here, port + 10 + j), (here, port + j))
                                  for j in range(len(self.groups) + 1)]
             self.start_targets(f"targets-{zone}", zone, port, port + (10 if proxy else 0))
         # Settings files say that it is the first start only once.
@@ -88,7 +90,7 @@
     def start_targets(self, name, zone, first_port, reported_port):
         self.launch(name, "snipe-backend", "--groups", ",".join(self.groups + ["orders"]),
                     "--controls", ",".join(f"{one}:8000" for one in self.controls),
-                    "--first-port", str(first_port),
+                    "--address", self.target_address, "--first-port", str(first_port),
                     "--reported-port", str(reported_port), "--zone", zone, "--slots", str(self.slots),
                     "--work-us", str(self.work_us), "--history", self.path(f"{name}.history"))
 
