--- a/src/libsnipeworks/consensus_node_test.cpp
+++ b/src/libsnipeworks/consensus_node_test.cpp
@@ -85,6 +85,10 @@
 // Control hosts under a fake clock, disk and network.
 class FakeCluster {
  public:
+  struct Automatic {};
+
+  FakeCluster(std::uint64_t seed, Automatic) : automatic(true), random(seed) {}
+
   explicit FakeCluster(std::uint64_t seed, std::size_t size = 3)
       : random(seed) {
     std::vector<Member> invited;
@@ -101,6 +105,33 @@
     EXPECT_EQ(Voters(), size);
   }
 
+  // Hosts that start a new cluster at once, each by itself, and look after
+  // their members without an operator.
+  static std::unique_ptr<FakeCluster> Together(std::uint64_t seed,
+                                               std::size_t size) {
+    std::unique_ptr<FakeCluster> cluster(new FakeCluster(seed, Automatic()));
+    std::vector<Member> voters;
+    for (std::size_t i = 0; i < size; ++i) {
+      const std::string name = "c" + std::to_string(i);
+      cluster->hosts.push_back({name});
+      cluster->hosts[i].disk = std::make_unique<FakeDisk>("first-" + name);
+      voters.push_back({name, name, "first-" + name, true});
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+      cluster->Start(i);
+      EXPECT_TRUE(cluster->hosts[i].node->BootstrapTogether(cluster->now,
+                                                            "cluster", voters));
+    }
+    return cluster;
+  }
+
+  // Adds a blank host that knows the others.
+  void AddHost() {
+    hosts.push_back({"c" + std::to_string(hosts.size())});
+    LoseDisk(hosts.size() - 1);
+    Start(hosts.size() - 1);
+  }
+
   void LoseDisk(std::size_t i) {
     hosts[i].disk =
         std::make_unique<FakeDisk>("disk-" + std::to_string(++disks));
@@ -113,6 +144,7 @@
     config.address = host.name;
     config.seed = random.Next();
     config.compact_after = 40;
+    config.automatic_members = automatic;
     for (const FakeHost& other : hosts) {
       config.seeds.push_back(other.name);
     }
@@ -283,6 +315,7 @@
     }
   }
 
+  bool automatic = false;
   Random random;
   Instant now{seconds(1000)};
   std::vector<FakeHost> hosts;
@@ -298,6 +331,81 @@
   int disks = 0;
 };
 
+// Control hosts of a new system start within moments of each other, and any of
+// them may be lost before the first election.
+TEST(Members, FoundAClusterTogetherAndBearTheLossOfAnyFounder) {
+  for (std::size_t lost = 0; lost < 3; ++lost) {
+    auto cluster = FakeCluster::Together(7 + lost, 3);
+    cluster->Kill(lost);
+    cluster->LoseDisk(lost);
+    ASSERT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                  seconds(10)));
+    cluster->Propose(*cluster->Leader());
+    cluster->Start(lost);  // Blank, and not for the first time.
+    EXPECT_TRUE(
+        cluster->RunUntil([&] { return cluster->Voters() == 3; }, seconds(20)))
+        << cluster->Describe();
+    EXPECT_FALSE(cluster->acknowledged.empty());
+    cluster->ExpectAllAcknowledged(*cluster->Leader());
+  }
+}
+
+// One host is gone for good, an empty one comes at another address; later one
+// more may be lost.
+TEST(Members, TakeInASuccessorAndDropTheLostHost) {
+  auto cluster = FakeCluster::Together(11, 3);
+  ASSERT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                seconds(10)));
+  cluster->Kill(0);
+  cluster->Run(seconds(2));
+  cluster->AddHost();
+  ASSERT_TRUE(cluster->RunUntil(
+      [&] {
+        FakeHost* leader = cluster->Leader();
+        if (leader == nullptr || cluster->Voters() != 3) {
+          return false;
+        }
+        const auto& members = leader->node->members();
+        return std::ranges::find(members, "c0", &Member::host) ==
+                   members.end() &&
+               std::ranges::find(members, "c3", &Member::host) != members.end();
+      },
+      seconds(6)))
+      << cluster->Describe();
+  cluster->Kill(1);
+  EXPECT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                seconds(10)))
+      << cluster->Describe();
+}
+
+// Three of three are kept whatever happens to one; of four, one that is cut off
+// is dropped, and joins again when the cut has healed.
+TEST(Members, AreDroppedOnlyWhereEnoughAreLeftAndJoinAgain) {
+  auto three = FakeCluster::Together(13, 3);
+  ASSERT_TRUE(
+      three->RunUntil([&] { return three->Leader() != nullptr; }, seconds(10)));
+  three->Kill(2);
+  three->Run(seconds(10));
+  ASSERT_NE(three->Leader(), nullptr);
+  EXPECT_EQ(three->Leader()->node->members().size(), 3U);
+
+  auto four = FakeCluster::Together(17, 3);
+  four->AddHost();
+  ASSERT_TRUE(four->RunUntil([&] { return four->Voters() == 4; }, seconds(20)));
+  FakeHost& cut = four->hosts[3];
+  cut.cut = true;
+  EXPECT_TRUE(four->RunUntil(
+      [&] {
+        FakeHost* leader = four->Leader();
+        return leader != nullptr && leader->node->members().size() == 3;
+      },
+      seconds(10)))
+      << four->Describe();
+  cut.cut = false;
+  EXPECT_TRUE(four->RunUntil([&] { return four->Voters() == 4; }, seconds(20)))
+      << four->Describe();
+}
+
 TEST(Consensus, ABlankHostDoesNotBecomeALeaderByItself) {
   FakeCluster cluster(1);
   cluster.Kill(0);
