--- a/src/include/snipeworks/edge_names.h
+++ b/src/include/snipeworks/edge_names.h
@@ -23,7 +23,7 @@
   /// Signatures of the parts in an answer over all shards, with commas.
   std::string part_signatures = "Snipe-Part-Signatures";
   /// Number of shards that an answer leaves out.
-  std::string missing_parts = "Snipe-Missing-Parts";
+  std::string missing_parts = "Snipe-Parts-Missing";
   /// Path that the balancer asks for readiness.
   std::string ready_path = "/ready";
 };
--- a/src/include/snipeworks/routing.h
+++ b/src/include/snipeworks/routing.h
@@ -77,15 +77,16 @@
 struct CallerLimits {
   std::uint64_t max_header_bytes = 0;
   std::uint64_t max_body_bytes = 0;
-  std::int64_t request_timeout_ms = 0;
-  std::int64_t idle_timeout_ms = 0;
+  /// From the first byte of a request to the end of its headers.
+  std::int64_t header_timeout_ms = 0;
+  std::int64_t idle_timeout_ms = 0;  ///< Without a request on the way.
 
   friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
 };
 
 template <SameStruct<CallerLimits> S>
 auto WireFields(S& v) {
-  return std::tie(v.max_header_bytes, v.max_body_bytes, v.request_timeout_ms,
+  return std::tie(v.max_header_bytes, v.max_body_bytes, v.header_timeout_ms,
                   v.idle_timeout_ms);
 }
 
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -183,7 +183,7 @@
   CallerLimits limits;
   limits.max_header_bytes = members.WholeOr(names.max_header_bytes, 0);
   limits.max_body_bytes = members.WholeOr(names.max_body_bytes, 0);
-  limits.request_timeout_ms =
+  limits.header_timeout_ms =
       static_cast<std::int64_t>(members.WholeOr(names.header_timeout_ms, 0));
   limits.idle_timeout_ms =
       static_cast<std::int64_t>(members.WholeOr(names.idle_timeout_ms, 0));
--- /dev/null
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -0,0 +1,206 @@
+#include "snipeworks/control_host.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "snipeworks/caller_api.h"
+#include "snipeworks/compression.h"
+
+// The calls of targets and operators.
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kReadTimeout = milliseconds(700);
+constexpr Duration kProposeTimeout = milliseconds(900);
+// An operator's call is given up after this: the operator asks another host
+// sooner.
+constexpr Duration kDecidePatience = std::chrono::seconds(4);
+constexpr Duration kDecidePause = milliseconds(50);
+
+std::string StatusJson(const ControlStatus& status) {
+  nlohmann::json members = nlohmann::json::array();
+  for (const Member& member : status.members) {
+    members.push_back({{"host", member.host},
+                       {"address", member.address},
+                       {"voter", member.voter}});
+  }
+  const nlohmann::json document = {
+      {"host", status.host},
+      {"role", status.role},
+      {"leader", status.leader},
+      {"term", status.term},
+      {"commit", status.commit},
+      {"last", status.last},
+      {"first", status.first},
+      {"current", status.current},
+      {"failed", status.failed},
+      {"settings_version", status.settings_version},
+      {"members_committed", status.members_committed},
+      {"claims", status.claims},
+      {"members", std::move(members)}};
+  return document.dump() + "\n";
+}
+
+}  // namespace
+
+void ControlHost::OnHttp(ExchangeId exchange, const HttpRequest& request) {
+  if (request.path == "/healthz") {
+    http_->Answer(exchange, {200, "text/plain", "ok\n"});
+    return;
+  }
+  if (request.path == "/v1/status") {
+    http_->Answer(exchange, {200, "application/json", StatusJson(Status())});
+    return;
+  }
+  if (request.path == "/v1/faults" && settings_.allow_faults()) {
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("address")) {
+      http_->Answer(exchange, {400, "text/plain", "needs address and cut\n"});
+      return;
+    }
+    peers_.SetCut(body["address"].get<std::string>(), body.value("cut", true));
+    http_->Answer(exchange, {200, "text/plain", "ok\n"});
+    return;
+  }
+  auto call = DecodeControlCall(request, names_);
+  if (!call) {
+    const bool document = request.path == names_.replace_path;
+    if (call.error().kind == ErrorKind::kBadRequest) {
+      log_.Write(
+          document ? EventKind::kRoutingRejected : EventKind::kReportRejected,
+          {{"path", request.path}, {"reason", call.error().detail}});
+    }
+    metrics_.OnCall(document ? "replace_routing" : "report", "rejected");
+    AnswerError(exchange, call.error());
+  } else if (const auto* report = std::get_if<TargetReport>(&*call)) {
+    membership_.OnReport(report->news, [this, exchange] {
+      metrics_.OnCall("report", "taken");
+      Answer(exchange, "{}");
+    });
+  } else if (const auto* leave = std::get_if<TargetLeaves>(&*call)) {
+    membership_.OnLeave(*leave, [this, exchange] {
+      metrics_.OnCall("leave", "taken");
+      Answer(exchange, "{}");
+    });
+  } else if (const auto* change = std::get_if<ReplaceRouting>(&*call)) {
+    OnReplace(exchange, *change);
+  } else {
+    OnReadRouting(exchange);
+  }
+}
+
+void ControlHost::OnReplace(ExchangeId exchange, const ReplaceRouting& change) {
+  const Instant now = MonotonicNow();
+  ControlCommand command;
+  command.kind = CommandKind::kRouting;
+  command.routing_version = change.routing.version;
+  command.document = Compress(change.document);
+  Decide(
+      Encode(command), now + kDecidePatience,
+      [this, exchange, now,
+       version = change.routing.version](std::optional<CommandResult> result) {
+        const Duration latency = MonotonicNow() - now;
+        if (!result) {
+          log_.Write(EventKind::kRoutingUnanswered,
+                     {{"version", version}, {"after_ms", latency}});
+          metrics_.OnCall("replace_routing", "undecided");
+          AnswerError(exchange, {ErrorKind::kNoQuorum,
+                                 "no quorum of control hosts answered",
+                                 milliseconds(500)});
+          return;
+        }
+        const bool accepted = result->status == CommandStatus::kAccepted;
+        log_.Write(EventKind::kRoutingAccepted,
+                   {{"version", version},
+                    {"outcome", accepted ? "accepted" : "unchanged"},
+                    {"newest", result->version},
+                    {"after_ms", latency}});
+        metrics_.OnCall("replace_routing", accepted ? "accepted" : "unchanged");
+        metrics_.OnDecided(latency);
+        Answer(exchange, "{}");
+      });
+}
+
+// The command names its own version, so a second try after a lost answer
+// changes nothing.
+void ControlHost::Decide(const std::string& command,
+                         Instant give_up,
+                         const OnDecided& done) {
+  const Instant now = MonotonicNow();
+  if (now >= give_up) {
+    done(std::nullopt);
+    return;
+  }
+  const auto retry = [this, command, give_up, done] {
+    loop_.After(kDecidePause, [this, command, give_up, done] {
+      Decide(command, give_up, done);
+    });
+  };
+  const auto on_reply = [retry, done](const PeerResult& result) {
+    const auto reply =
+        result ? Decode<ProposeReply>(*result) : std::optional<ProposeReply>();
+    if (reply && reply->decided) {
+      done(reply->result);
+    } else {
+      retry();
+    }
+  };
+  if (node_ && node_->LeadsNow(now)) {
+    OnPropose(command, on_reply);
+    return;
+  }
+  const std::string leader = LeaderAddress();
+  if (leader.empty() || leader == settings_.peer().ToString()) {
+    retry();
+    return;
+  }
+  peers_.Call(leader, kControlProposePath, command, kProposeTimeout, on_reply);
+}
+
+void ControlHost::OnReadRouting(ExchangeId exchange) {
+  const ReadReply own = ReadNow();
+  const std::string leader = LeaderAddress();
+  if (own.current || leader.empty() || leader == settings_.peer().ToString()) {
+    AnswerRead(exchange, own);
+    return;
+  }
+  peers_.Call(leader, kControlReadPath, "", kReadTimeout,
+              [this, exchange](const PeerResult& result) {
+                const auto reply = result ? Decode<ReadReply>(*result)
+                                          : std::optional<ReadReply>();
+                AnswerRead(exchange, reply.value_or(ReadReply{}));
+              });
+}
+
+void ControlHost::AnswerRead(ExchangeId exchange, const ReadReply& reply) {
+  if (reply.current && reply.routing.version > 0) {
+    if (const auto document = Decompress(reply.routing.document)) {
+      metrics_.OnCall("read_routing", "answered");
+      Answer(exchange, *document);
+      return;
+    }
+  }
+  log_.Write(EventKind::kReadUnanswered,
+             {{"current", reply.current}, {"version", reply.routing.version}});
+  metrics_.OnCall("read_routing", "unanswered");
+  AnswerError(exchange,
+              {ErrorKind::kNoQuorum,
+               reply.current ? "no version has been accepted yet"
+                             : "the newest version is not certain here",
+               milliseconds(500)});
+}
+
+void ControlHost::Answer(ExchangeId exchange, const std::string& body) {
+  http_->Answer(exchange, {200, "application/json", body});
+}
+
+void ControlHost::AnswerError(ExchangeId exchange, const Error& error) {
+  http_->Answer(exchange, ToHttp(error, RetryAfterForm::kFraction));
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -71,8 +71,8 @@
   if (limits.max_body_bytes > 0) {
     result.max_body_bytes = limits.max_body_bytes;
   }
-  if (limits.request_timeout_ms > 0) {
-    result.header_timeout = milliseconds(limits.request_timeout_ms);
+  if (limits.header_timeout_ms > 0) {
+    result.header_timeout = milliseconds(limits.header_timeout_ms);
   }
   if (limits.idle_timeout_ms > 0) {
     result.idle_timeout = milliseconds(limits.idle_timeout_ms);
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -192,7 +192,7 @@
             connection.close()
         if "Snipe-Part-Signatures" in self.headers:
             self.signatures = self.headers["Snipe-Part-Signatures"].split(", ")
-            self.missing = int(self.headers["Snipe-Missing-Parts"])
+            self.missing = int(self.headers["Snipe-Parts-Missing"])
         return self
 
     def faults(self, groups):
