Keep enough voters for the losses that a deployment tolerates

Change: tolerated_losses; voters are dropped only while 2n + 1 are left. Measured: the new unit test passes.

--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -60,6 +60,9 @@
   /// Whether control hosts take each other in and drop silent ones by
   /// themselves.
   bool automatic_members() const { return automatic_members_; }
+  /// Control hosts whose disks may be lost at once: silent voters are dropped
+  /// only while enough for that are left.
+  std::uint32_t tolerated_losses() const { return tolerated_losses_; }
   /// How often targets report; several missed reports mean that one is gone.
   Duration report_interval() const { return report_interval_; }
   /// Most time from the order to stop to the end of the program.
@@ -88,6 +91,7 @@
   Address metrics_;
   bool first_start_ = false;
   bool automatic_members_ = false;
+  std::uint32_t tolerated_losses_ = 1;
   Duration report_interval_ = std::chrono::seconds(1);
   Duration shutdown_limit_ = std::chrono::seconds(65);
   Duration answer_margin_{};
--- a/src/libsnipeworks/consensus_node_test.cpp
+++ b/src/libsnipeworks/consensus_node_test.cpp
@@ -108,8 +108,10 @@
   // Hosts that start a new cluster at once, each by itself, and look after
   // their members without an operator.
   static std::unique_ptr<FakeCluster> Together(std::uint64_t seed,
-                                               std::size_t size) {
+                                               std::size_t size,
+                                               std::size_t min_voters = 3) {
     std::unique_ptr<FakeCluster> cluster(new FakeCluster(seed, Automatic()));
+    cluster->min_voters = min_voters;
     std::vector<Member> voters;
     for (std::size_t i = 0; i < size; ++i) {
       const std::string name = "c" + std::to_string(i);
@@ -145,6 +147,7 @@
     config.seed = random.Next();
     config.compact_after = 40;
     config.automatic_members = automatic;
+    config.min_voters = min_voters;
     for (const FakeHost& other : hosts) {
       config.seeds.push_back(other.name);
     }
@@ -316,6 +319,7 @@
   }
 
   bool automatic = false;
+  std::size_t min_voters = 3;
   Random random;
   Instant now{seconds(1000)};
   std::vector<FakeHost> hosts;
@@ -378,6 +382,38 @@
       << cluster->Describe();
 }
 
+// Five hosts of which two may lose their disks: with fewer than five voters,
+// two that were silent and came back would not make up for two that are wiped.
+TEST(Members, KeepEnoughVotersForTheLossesThatAreTolerated) {
+  auto cluster = FakeCluster::Together(19, 5, 5);
+  ASSERT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                seconds(10)));
+  const std::string leader = cluster->Leader()->name;
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < 5; ++i) {
+    if (cluster->hosts[i].name != leader) {
+      others.push_back(i);
+    }
+  }
+  cluster->hosts[others[0]].cut = true;
+  cluster->hosts[others[1]].cut = true;
+  cluster->Run(seconds(8));
+  cluster->Propose(*cluster->Leader());
+  cluster->Run(seconds(1));
+  ASSERT_FALSE(cluster->acknowledged.empty());
+  cluster->hosts[others[0]].cut = false;
+  cluster->hosts[others[1]].cut = false;
+  for (std::size_t wiped : {others[2], others[3]}) {
+    cluster->Kill(wiped);
+    cluster->LoseDisk(wiped);
+    cluster->Start(wiped);
+  }
+  EXPECT_TRUE(
+      cluster->RunUntil([&] { return cluster->Voters() == 5; }, seconds(30)))
+      << cluster->Describe();
+  cluster->ExpectAllAcknowledged(*cluster->Leader());
+}
+
 // Three of three are kept whatever happens to one; of four, one that is cut off
 // is dropped, and joins again when the cut has healed.
 TEST(Members, AreDroppedOnlyWhereEnoughAreLeftAndJoinAgain) {
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -64,6 +64,8 @@
   config.seeds = Seeds(settings);
   config.seed = std::random_device()();
   config.automatic_members = settings.automatic_members();
+  // A quorum must be left when that many of the voters lose their disks.
+  config.min_voters = 2 * std::size_t{settings.tolerated_losses()} + 1;
   return config;
 }
 
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kMaxHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
 
-constexpr std::array<std::string_view, 20> kNames = {"host",
+constexpr std::array<std::string_view, 21> kNames = {"host",
                                                      "zone",
                                                      "http",
                                                      "peer",
@@ -34,6 +34,7 @@
                                                      "report_interval_ms",
                                                      "shutdown_limit_ms",
                                                      "answer_margin_ms",
+                                                     "tolerated_losses",
                                                      "policy"};
 
 Address ReadAddress(JsonReader& reader, const char* name) {
@@ -161,6 +162,8 @@
   settings.first_start_ = ReadSwitch(reader, *document, "first_start");
   settings.automatic_members_ =
       ReadSwitch(reader, *document, "automatic_members");
+  settings.tolerated_losses_ = static_cast<std::uint32_t>(
+      reader.UnsignedOr("tolerated_losses", 1, 0, 3));
   settings.report_interval_ =
       ReadMilliseconds(reader, "report_interval_ms", settings.report_interval_);
   settings.shutdown_limit_ =
