Measure the patience with a joining control host from its call

Cause: a member without a vote had no progress entry until its second call to be taken in, so DropSilent took the time since the leader was elected for its silence: under a leader of ten seconds or more each joining host was dropped at the next heartbeat, joined again, and was dropped again. Change: the first call starts replication to the host and its patience.

--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -148,6 +148,7 @@
     LogIndex next = 1;
     LogIndex match = 0;
     Instant heard{};  ///< When the newest answered message was sent.
+    Instant asked{};  ///< When it last asked to be taken in.
     Instant sent{};
     bool in_flight = false;
   };
@@ -182,6 +183,7 @@
   void OnAppendReply(Instant now, const ConsensusMessage& message);
   void OnSnapshot(Instant now, const ConsensusMessage& message);
   void OnJoin(Instant now, const ConsensusMessage& message);
+  void NoteJoining(Instant now, const ConsensusMessage& message);
   void ReplyTo(const ConsensusMessage& request,
                ConsensusKind kind,
                bool granted,
--- a/src/libsnipeworks/consensus_node.cpp
+++ b/src/libsnipeworks/consensus_node.cpp
@@ -364,6 +364,19 @@
   }
 }
 
+// Replication to a host begins with its first call, and so does the patience
+// with its silence: the leader may have led for long by then.
+void ConsensusNode::NoteJoining(Instant now, const ConsensusMessage& message) {
+  Progress& progress = progress_[message.from];
+  if (progress.disk != message.from_disk) {
+    progress = Progress{};
+    progress.disk = message.from_disk;
+    progress.next = last_index() + 1;
+  }
+  progress.address = message.from_address;
+  progress.asked = now;
+}
+
 // A member that comes with another disk first loses its vote, by a quorum that
 // does not count it; AdmitCaughtUp gives the vote back.
 void ConsensusNode::OnJoin(Instant now, const ConsensusMessage& message) {
@@ -375,17 +388,11 @@
     if (config_.automatic_members &&
         AddMember(now, message.from, message.from_address)) {
       LOG(INFO) << "event=member_joining host=" << message.from;
+      NoteJoining(now, message);
     }
     return;
   }
-  if (member->voter && member->disk == message.from_disk) {
-    Progress& progress = progress_[message.from];
-    if (progress.disk != message.from_disk) {
-      progress = {message.from_address, message.from_disk, last_index() + 1};
-    }
-    return;
-  }
-  if (member->voter) {
+  if (member->voter && member->disk != message.from_disk) {
     std::vector<Member> members = members_;
     for (Member& one : members) {
       if (one.host == message.from) {
@@ -395,17 +402,11 @@
     }
     if (ChangeMembers(now, std::move(members))) {
       LOG(WARNING) << "event=member_lost_disk host=" << message.from;
-      progress_.erase(message.from);
+      NoteJoining(now, message);
     }
     return;
   }
-  Progress& progress = progress_[message.from];
-  if (progress.disk != message.from_disk) {
-    progress = Progress{};
-    progress.disk = message.from_disk;
-    progress.next = last_index() + 1;
-  }
-  progress.address = message.from_address;
+  NoteJoining(now, message);
 }
 
 // A voter that has gone for good would go on counting towards the quorum: once
@@ -419,13 +420,17 @@
     if (member.host == config_.host) {
       continue;
     }
-    auto found = progress_.find(member.host);
-    const Instant heard =
-        found == progress_.end() ? led_since_ : found->second.heard;
+    // A voter must answer; one that only asks may be cut off one way.
+    Instant heard = led_since_;
+    if (auto found = progress_.find(member.host); found != progress_.end()) {
+      heard = std::max(heard, member.voter ? found->second.heard
+                                           : std::max(found->second.heard,
+                                                      found->second.asked));
+    }
     const Duration patience =
         config_.drop_after * (member.voter ? 1 : kNonVoterPatience);
     const bool spare = !member.voter || Voters() > config_.min_voters;
-    if (!spare || now - std::max(heard, led_since_) < patience) {
+    if (!spare || now - heard < patience) {
       continue;
     }
     const std::string host = member.host;
