Pass a join on to the leader

Cause: a control host that comes back blank knows the three addresses of its settings only; where none of them led, nobody who could take it in heard its calls. Change: a follower passes the call on to its leader, once.

--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -183,6 +183,7 @@
   void OnAppendReply(Instant now, const ConsensusMessage& message);
   void OnSnapshot(Instant now, const ConsensusMessage& message);
   void OnJoin(Instant now, const ConsensusMessage& message);
+  void PassJoinOn(const ConsensusMessage& message);
   void NoteJoining(Instant now, const ConsensusMessage& message);
   void ReplyTo(const ConsensusMessage& request,
                ConsensusKind kind,
--- a/src/include/snipeworks/consensus_types.h
+++ b/src/include/snipeworks/consensus_types.h
@@ -122,6 +122,7 @@
   kAppendReply,
   kSnapshot,
   kJoin,
+  kForwardedJoin,  ///< A follower passes a join on to its leader.
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/consensus_members_test.cpp
+++ b/src/libsnipeworks/consensus_members_test.cpp
@@ -137,6 +137,28 @@
   cluster->ExpectAllAcknowledged(*cluster->Leader());
 }
 
+// A host that comes back blank is told of some hosts, and none of them leads.
+TEST(Members, AreTakenInThroughAnyOfThem) {
+  auto cluster = FakeCluster::Together(31, 5, 5);
+  ASSERT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                seconds(10)));
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < 5; ++i) {
+    if (&cluster->hosts[i] != cluster->Leader()) {
+      others.push_back(i);
+    }
+  }
+  FakeHost& wiped = cluster->hosts[others[0]];
+  wiped.seeds = {cluster->hosts[others[1]].name,
+                 cluster->hosts[others[2]].name};
+  cluster->Kill(others[0]);
+  cluster->LoseDisk(others[0]);
+  cluster->Start(others[0]);
+  EXPECT_TRUE(
+      cluster->RunUntil([&] { return cluster->Voters() == 5; }, seconds(3)))
+      << cluster->Describe();
+}
+
 // Three of three are kept whatever happens to one; of four, one that is cut off
 // is dropped, and joins again when the cut has healed.
 TEST(Members, AreDroppedOnlyWhereEnoughAreLeftAndJoinAgain) {
--- a/src/libsnipeworks/consensus_node.cpp
+++ b/src/libsnipeworks/consensus_node.cpp
@@ -325,7 +325,8 @@
     }
     cluster_ = message.cluster;
   }
-  const bool joining = message.kind == ConsensusKind::kJoin;
+  const bool joining = message.kind == ConsensusKind::kJoin ||
+                       message.kind == ConsensusKind::kForwardedJoin;
   const bool same_cluster =
       message.cluster == cluster_ || (joining && message.cluster.empty());
   if (!same_cluster || cluster_.empty()) {
@@ -359,6 +360,7 @@
       OnSnapshot(now, message);
       return;
     case ConsensusKind::kJoin:
+    case ConsensusKind::kForwardedJoin:
       OnJoin(now, message);
       return;
   }
@@ -377,10 +379,24 @@
   progress.asked = now;
 }
 
+// The hosts that a blank host is told of need not lead. A join is passed on
+// once: two hosts that take each other for the leader must not keep it going.
+void ConsensusNode::PassJoinOn(const ConsensusMessage& message) {
+  const Member* leader = FindMember(leader_);
+  if (message.kind == ConsensusKind::kForwardedJoin || leader == nullptr ||
+      leader_ == config_.host) {
+    return;
+  }
+  ConsensusMessage forwarded = message;
+  forwarded.kind = ConsensusKind::kForwardedJoin;
+  Send(leader->address, std::move(forwarded));
+}
+
 // A member that comes with another disk first loses its vote, by a quorum that
 // does not count it; AdmitCaughtUp gives the vote back.
 void ConsensusNode::OnJoin(Instant now, const ConsensusMessage& message) {
   if (!LeadsNow(now)) {
+    PassJoinOn(message);
     return;
   }
   const Member* member = FindMember(message.from);
