Ask a target again whose listener resets the question whether it is there

Change: a question that is reset is asked again up to three times, 5 ms apart; one that is reset each time counts as a loss.

--- a/src/include/snipeworks/target_gateway.h
+++ b/src/include/snipeworks/target_gateway.h
@@ -48,7 +48,8 @@
   };
 
   void OnAnswer(AttemptId attempt, const HttpCallResult& result);
-  void VerifyLoss(const Running& running);
+  /// Asks the target up to `tries` times whether it is still there.
+  void VerifyLoss(const Running& running, int tries);
   void Report(const Running& running, const AttemptOutcome& outcome);
   /// A call about an attempt, to the target that got it.
   static HttpCall CallAbout(const Running& running, const char* path);
--- a/src/libsnipeworks/http_client_test.cpp
+++ b/src/libsnipeworks/http_client_test.cpp
@@ -3,7 +3,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -18,44 +17,6 @@
 constexpr char kWholeAnswer[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-// A server whose connections are scripted one by one in a thread of their own.
-class ScriptedServer {
- public:
-  using Script = std::function<void(Socket)>;
-
-  explicit ScriptedServer(std::vector<Script> scripts)
-      : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address = LoopbackAt(0);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
-    listen(listener_, 16);
-    thread_ = std::thread([this, scripts = std::move(scripts)] {
-      for (const Script& script : scripts) {
-        const int accepted = accept(listener_, nullptr, nullptr);
-        if (accepted < 0) {
-          return;
-        }
-        script(Socket::Accepted(accepted));
-      }
-    });
-  }
-
-  ~ScriptedServer() {
-    shutdown(listener_, SHUT_RDWR);
-    thread_.join();
-    close(listener_);
-  }
-
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-
- private:
-  int listener_;
-  std::uint16_t port_ = 0;
-  std::thread thread_;
-};
-
 // Sends calls one after the other and returns how each ended.
 std::vector<HttpCallResult> CallInTurn(const std::string& address,
                                        std::size_t count,
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -19,6 +19,10 @@
 // The target's own deadline comes first.
 constexpr Duration kRunMargin = milliseconds(100);
 constexpr Duration kVerifyTimeout = milliseconds(100);
+// A process that ends closes its sockets one after the other: its listener may
+// reset a connection first, and refuses the next one.
+constexpr int kVerifyTries = 4;
+constexpr Duration kVerifyPause = milliseconds(5);
 constexpr Duration kWarmTimeout = milliseconds(1000);
 
 }  // namespace
@@ -91,7 +95,7 @@
   const bool verify = outcome.status == AttemptStatus::kLost &&
                       running.command.idempotency_key.empty();
   if (verify) {
-    VerifyLoss(running);
+    VerifyLoss(running, kVerifyTries);
   } else {
     Report(running, outcome);
   }
@@ -100,13 +104,19 @@
 // A broken connection can mean that the target broke, or only the connection.
 // The target that is asked again tells: one that has gone refuses, one that was
 // restarted has another incarnation.
-void TargetGateway::VerifyLoss(const Running& running) {
+void TargetGateway::VerifyLoss(const Running& running, int tries) {
   HttpCall call = CallAbout(running, kProbePath);
   call.timeout = kVerifyTimeout;
-  client_.Send(call, [this, running](const HttpCallResult& result) {
+  client_.Send(call, [this, running, tries](const HttpCallResult& result) {
+    if (result.status == HttpCallStatus::kLost && tries > 1) {
+      loop_.After(kVerifyPause,
+                  [this, running, tries] { VerifyLoss(running, tries - 1); });
+      return;
+    }
     AttemptOutcome outcome;
     const ProbeAnswer answer = ParseProbeAnswer(result);
-    const bool gone = result.status == HttpCallStatus::kNotSent;
+    const bool gone = result.status == HttpCallStatus::kNotSent ||
+                      result.status == HttpCallStatus::kLost;
     const bool answered = answer.state != ProbeState::kUnreachable;
     const bool restarted =
         answered && answer.incarnation != running.command.incarnation;
--- /dev/null
+++ b/src/libsnipeworks/target_gateway_test.cpp
@@ -0,0 +1,77 @@
+#include "snipeworks/target_gateway.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "test_sockets_test.h"
+
+namespace snipeworks {
+namespace {
+
+// Sends one attempt to `address` and returns how it ended.
+AttemptStatus EndOfAttempt(const std::string& address) {
+  EventLoop loop;
+  SpanWriter spans("", "test");
+  Random random(1);
+  std::optional<AttemptStatus> status;
+  TargetGateway gateway(
+      loop, "entry-1", spans, random,
+      [&](AttemptId, const AttemptOutcome& outcome) {
+        status = outcome.status;
+        loop.Stop();
+      },
+      [](AttemptId, ProbeState) {});
+  AttemptCommand command;
+  command.id = 1;
+  command.target = "t1";
+  command.incarnation = 7;
+  command.address = address;
+  command.group = "lots";
+  command.query = std::make_shared<const std::string>("query");
+  command.budget = std::chrono::seconds(1);
+  gateway.Start(command);
+  loop.Run();
+  return status.value_or(AttemptStatus::kAnswered);
+}
+
+void ReadAndReset(Socket socket) {
+  socket.ReadUntil("\r\n\r\n");
+  socket.Reset();
+}
+
+std::string ProbeAnswerOf(int incarnation) {
+  const std::string body = R"({"state":"unknown","incarnation":)" +
+                           std::to_string(incarnation) + "}";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+TEST(Losses, OfAConnectionAloneAreNoLossOfTheTarget) {
+  const ScriptedServer server({ReadAndReset, [](const Socket& socket) {
+                                 socket.ReadUntil("\r\n\r\n");
+                                 socket.Send(ProbeAnswerOf(7));
+                               }});
+  EXPECT_EQ(EndOfAttempt(server.address()), AttemptStatus::kSilent);
+}
+
+TEST(Losses, AreToldByAnotherIncarnation) {
+  const ScriptedServer server({ReadAndReset, [](const Socket& socket) {
+                                 socket.ReadUntil("\r\n\r\n");
+                                 socket.Send(ProbeAnswerOf(8));
+                               }});
+  EXPECT_EQ(EndOfAttempt(server.address()), AttemptStatus::kLost);
+}
+
+// A process that ends closes its sockets one after the other: for a moment its
+// listener still takes connections, and resets them.
+TEST(Losses, AreSeenWhileTheTargetIsStillClosingItsSockets) {
+  const ScriptedServer server({ReadAndReset, ReadAndReset},
+                              ScriptedServer::Afterwards::kRefuses);
+  EXPECT_EQ(EndOfAttempt(server.address()), AttemptStatus::kLost);
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/libsnipeworks/test_sockets_test.h
+++ b/src/libsnipeworks/test_sockets_test.h
@@ -7,8 +7,11 @@
 #include <unistd.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace snipeworks {
 
@@ -99,6 +102,51 @@
   int descriptor_;
 };
 
+/// A server whose connections are scripted one by one in a thread of their own.
+class ScriptedServer {
+ public:
+  using Script = std::function<void(Socket)>;
+
+  /// What becomes of the listener after the last script.
+  enum class Afterwards { kListens, kRefuses };
+
+  explicit ScriptedServer(std::vector<Script> scripts,
+                          Afterwards afterwards = Afterwards::kListens)
+      : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = LoopbackAt(0);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t size = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    listen(listener_, 16);
+    thread_ = std::thread([this, afterwards, scripts = std::move(scripts)] {
+      for (const Script& script : scripts) {
+        const int accepted = accept(listener_, nullptr, nullptr);
+        if (accepted < 0) {
+          return;
+        }
+        script(Socket::Accepted(accepted));
+      }
+      if (afterwards == Afterwards::kRefuses) {
+        shutdown(listener_, SHUT_RDWR);
+      }
+    });
+  }
+
+  ~ScriptedServer() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  int listener_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_LIBSNIPEWORKS_TEST_SOCKETS_TEST_H_
