Let entry hosts know what all of them see of targets

Change: each host reports attempts, failures and slowness of its targets to the nearest control host every 400 ms; control hosts add them up with a half-life of 1 s, pass them on with their gossip and tell conditions that are not usual, in steps, with the answers to watches. What a host sees itself fades towards what it is told.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -25,6 +25,9 @@
     std::function<void(const std::vector<Announcement>&)> on_targets;
     std::function<void(const Routing&)> on_routing;
     std::function<void(std::uint32_t)> on_fleet_size;
+    std::function<void(const std::vector<TargetCondition>&)> on_conditions;
+    /// What this host has seen of targets since the last call.
+    std::function<std::vector<ConditionSample>()> take_samples;
     /// A digest of the targets that this host takes to be serving.
     std::function<std::uint64_t()> digest;
   };
@@ -57,6 +60,7 @@
     std::string zone;
     std::uint64_t epoch = 0;
     std::uint64_t serial = 0;
+    std::uint64_t condition_serial = 0;
     int differing = 0;  ///< Replies in a row with another digest.
     Instant next_call{};
     Instant heard{};
@@ -65,6 +69,7 @@
 
   void Tick();
   void Watch(const std::string& address, Source& source, bool best);
+  void ReportConditions(Instant now, const std::string& address);
   void OnReply(const std::string& address, const PeerResult& result);
   void TakeRouting(const WatchReply& reply);
   void Compare(Instant now, Source& source, const WatchReply& reply);
@@ -81,6 +86,7 @@
   Instant heard_version_at_{};
   std::uint64_t control_digest_ = 0;
   Instant started_{};
+  Instant report_due_{};
   std::uint32_t fleet_size_ = 0;
   bool informed_ = false;
 };
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "snipeworks/clock.h"
+#include "snipeworks/condition_board.h"
 #include "snipeworks/control_calls.h"
 #include "snipeworks/event_log.h"
 #include "snipeworks/membership_messages.h"
@@ -43,6 +44,7 @@
   void OnLeave(const TargetLeaves& leave, Acknowledge acknowledge);
   void OnWatch(const std::string& payload, const PeerServer::Reply& reply);
   void OnGossip(const std::string& payload, const PeerServer::Reply& reply);
+  void OnConditions(const std::string& payload, const PeerServer::Reply& reply);
 
   void Tick();
   /// Answers watchers that have something to learn. To be called after each
@@ -67,6 +69,7 @@
     /// What it has not been told yet.
     std::map<std::string, Announcement> changes;
     std::map<std::string, AliveNote> alive;
+    std::map<std::string, ConditionSample> samples;
     std::vector<Acknowledge> waiting;  ///< For its next answer.
   };
 
@@ -90,6 +93,7 @@
   Duration lease_;
   std::function<ControlView()> view_;
   TargetDirectory directory_;
+  ConditionBoard conditions_;
   std::uint64_t epoch_;
   std::vector<HeldWatch> watches_;
   std::map<std::string, Peer> others_;
@@ -104,6 +108,7 @@
   std::uint64_t changed_serial_ = 0;
   Instant current_since_{};
   Instant gossip_due_{};
+  Instant conditions_due_{};
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -27,6 +27,7 @@
   kRoutingInForce,
   kTargetChanged,
   kFleetSize,
+  kConditions,
   kRequest,
   kAttempt,
   kHedgeSkipped,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -72,6 +72,7 @@
   void OnOutcome(AttemptId attempt, const AttemptOutcome& outcome);
   void OnTargets(const std::vector<Announcement>& changes);
   void OnRouting(const Routing& routing);
+  void OnConditions(const std::vector<TargetCondition>& conditions);
   void LogReadiness();
   void CloseIfIdle(const std::function<void()>& done);
   std::string MetricsPage();
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -8,6 +8,7 @@
 
 #include "snipeworks/control_messages.h"
 #include "snipeworks/entry_messages.h"
+#include "snipeworks/target_condition.h"
 #include "snipeworks/wire.h"
 
 namespace snipeworks {
@@ -16,6 +17,7 @@
 inline constexpr char kControlWatchPath[] = "/control/watch";
 inline constexpr char kControlGossipPath[] = "/control/gossip";
 inline constexpr char kControlReadPath[] = "/control/read";
+inline constexpr char kControlConditionsPath[] = "/control/conditions";
 
 /// An entry host asks for what it does not know; the answer is held back until
 /// there is something to tell.
@@ -31,13 +33,15 @@
   /// Routes are wanted even from a control host that may be behind.
   bool takes_old_routing = true;
   std::uint64_t control_digest = 0;  ///< Of the control hosts known.
+  /// Of the newest conditions known; conditions are told with routes.
+  std::uint64_t condition_serial = 0;
 };
 
 template <SameStruct<WatchRequest> S>
 auto WireFields(S& v) {
   return std::tie(v.host, v.zone, v.epoch, v.serial, v.routing_version,
                   v.heard_version, v.wants_routing, v.takes_old_routing,
-                  v.control_digest);
+                  v.control_digest, v.condition_serial);
 }
 
 /// The answer to a WatchRequest.
@@ -55,13 +59,16 @@
   std::uint32_t entry_hosts = 0;  ///< That the control hosts hear of.
   std::uint64_t control_digest = 0;
   std::vector<std::string> control_hosts;  ///< If they are other ones.
+  std::uint64_t condition_serial = 0;
+  std::vector<TargetCondition> conditions;  ///< If they are wanted and newer.
 };
 
 template <SameStruct<WatchReply> S>
 auto WireFields(S& v) {
   return std::tie(v.zone, v.epoch, v.serial, v.digest, v.changes,
                   v.routing_version, v.routing, v.routing_change, v.current,
-                  v.entry_hosts, v.control_digest, v.control_hosts);
+                  v.entry_hosts, v.control_digest, v.control_hosts,
+                  v.condition_serial, v.conditions);
 }
 
 /// A report that only shows that a target is alive.
@@ -83,11 +90,22 @@
   std::vector<Announcement> changes;
   std::vector<AliveNote> alive;
   std::vector<std::string> entry_hosts;
+  std::vector<ConditionSample> samples;  ///< One for a target.
 };
 
 template <SameStruct<GossipMessage> S>
 auto WireFields(S& v) {
-  return std::tie(v.host, v.changes, v.alive, v.entry_hosts);
+  return std::tie(v.host, v.changes, v.alive, v.entry_hosts, v.samples);
+}
+
+/// What an entry host has seen of targets since its last report.
+struct ConditionReport {
+  std::vector<ConditionSample> samples;
+};
+
+template <SameStruct<ConditionReport> S>
+auto WireFields(S& v) {
+  return std::tie(v.samples);
 }
 
 /// The answer to gossip: what its receiver knows now.
--- a/src/include/snipeworks/replica_selector.h
+++ b/src/include/snipeworks/replica_selector.h
@@ -64,6 +64,12 @@
   /// The stats of `target`, or null if it never announced itself.
   TargetStats* Stats(const std::string& target);
 
+  /// What all entry hosts together see of some targets.
+  void OnConditions(Instant now,
+                    const std::vector<TargetCondition>& conditions);
+  /// What this host has seen of targets since the last call.
+  std::vector<ConditionSample> TakeSamples();
+
   /// Connections that this host may hold to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
 
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -15,6 +15,7 @@
 #include "snipeworks/fleet_settings.h"
 #include "snipeworks/poison_tracker.h"
 #include "snipeworks/search.h"
+#include "snipeworks/target_condition.h"
 #include "snipeworks/target_view.h"
 
 namespace snipeworks {
@@ -130,6 +131,12 @@
   void OnOutcome(Instant now, AttemptId attempt, const AttemptOutcome& outcome);
   void OnProbe(Instant now, AttemptId attempt, ProbeState state);
 
+  /// What all entry hosts together see of some targets.
+  void OnConditions(Instant now,
+                    const std::vector<TargetCondition>& conditions);
+  /// What this host has seen of targets since the last call.
+  std::vector<ConditionSample> TakeSamples();
+
   /// Takes another host's evidence. Returns true if such a request is running
   /// here right now.
   bool OnEvidence(Instant now, const PoisonEvidence& evidence);
--- /dev/null
+++ b/src/include/snipeworks/target_condition.h
@@ -0,0 +1,47 @@
+#ifndef SNIPEWORKS_TARGET_CONDITION_H_
+#define SNIPEWORKS_TARGET_CONDITION_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+#include "snipeworks/wire.h"
+
+namespace snipeworks {
+
+/// What attempts at one target showed since the last sample was taken.
+struct ConditionSample {
+  std::string target;
+  std::uint32_t timed = 0;     ///< Attempts whose latency is known.
+  std::uint32_t failures = 0;  ///< Attempts without a usable answer.
+  /// Sum over the timed ones: latency in percent of the usual one.
+  std::uint32_t slowness_percent = 0;
+
+  friend auto operator<=>(const ConditionSample&,
+                          const ConditionSample&) = default;
+};
+
+template <SameStruct<ConditionSample> S>
+auto WireFields(S& v) {
+  return std::tie(v.target, v.timed, v.failures, v.slowness_percent);
+}
+
+/// The condition of one target as all entry hosts together see it.
+struct TargetCondition {
+  std::string target;
+  std::uint32_t slowness_percent = 100;  ///< Latency, 100 is the usual one.
+  std::uint32_t failing_percent = 0;     ///< Share of attempts that fail.
+
+  friend auto operator<=>(const TargetCondition&,
+                          const TargetCondition&) = default;
+};
+
+template <SameStruct<TargetCondition> S>
+auto WireFields(S& v) {
+  return std::tie(v.target, v.slowness_percent, v.failing_percent);
+}
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_TARGET_CONDITION_H_
--- a/src/include/snipeworks/target_stats.h
+++ b/src/include/snipeworks/target_stats.h
@@ -7,6 +7,7 @@
 #include "snipeworks/attempt.h"
 #include "snipeworks/clock.h"
 #include "snipeworks/policy.h"
+#include "snipeworks/target_condition.h"
 
 namespace snipeworks {
 
@@ -32,6 +33,11 @@
                 const GroupPolicy& policy);
   /// An attempt has been running for so long that it counts as slow.
   void OnSlow(Instant now);
+  /// What all entry hosts together see of the target: what this host has seen
+  /// itself counts for more while it is fresh.
+  void OnCondition(Instant now, const TargetCondition& condition);
+  /// What this host has seen since the last call, without the target's name.
+  ConditionSample TakeSample();
   /// Connections that this host may use from now on.
   void set_share(std::uint32_t share) { share_ = share; }
 
@@ -62,6 +68,12 @@
   void Observe(Instant now, double slowness, double weight);
   void ObserveFailure(Instant now, bool failed);
   double Busy(Instant now) const;
+  // What others tell, faded by its age.
+  double ToldSlowness(Instant now) const;
+  double ToldFailing(Instant now) const;
+  // What was seen here, which fades towards what others tell.
+  double Slowness(Instant now) const;
+  double Failing(Instant now) const;
   void Eject(Instant now, const GroupPolicy& policy);
   double MaxLimit() const;
 
@@ -77,6 +89,9 @@
   Instant slowness_at_{};
   double failure_share_ = 0.0;
   Instant failure_at_{};
+  TargetCondition told_;
+  Instant told_at_{};
+  ConditionSample sample_;
   double busy_ = 0.0;  ///< Requests there, as its latest answer told.
   Instant busy_at_{};
   Instant stalled_until_{};
--- /dev/null
+++ b/src/libsnipeworks/condition_board_test.cpp
@@ -0,0 +1,80 @@
+#include "snipeworks/condition_board.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+
+// One report a host for `hosts` hosts, each of one attempt.
+void Report(ConditionBoard& board,
+            Instant now,
+            std::size_t hosts,
+            const ConditionSample& sample) {
+  for (std::size_t i = 0; i < hosts; ++i) {
+    board.Add(now, {sample});
+  }
+}
+
+TEST(Conditions, OfUsualTargetsAreNotTold) {
+  ConditionBoard board;
+  Report(board, kStart, 20, {"t1", 1, 0, 110});
+  board.Publish(kStart);
+  EXPECT_TRUE(board.ChangesSince(0).empty());
+}
+
+TEST(Conditions, AreToldOnceManyHostsHaveSeenALittle) {
+  ConditionBoard board;
+  Report(board, kStart, 20, {"slow", 1, 0, 800});
+  Report(board, kStart, 10, {"failing", 1, 1, 100});
+  board.Publish(kStart);
+  const auto told = board.ChangesSince(0);
+  ASSERT_EQ(told.size(), 2U);
+  EXPECT_EQ(told[0].target, "failing");
+  EXPECT_GE(told[0].failing_percent, 40U);
+  EXPECT_EQ(told[1].target, "slow");
+  EXPECT_GE(told[1].slowness_percent, 500U);
+}
+
+TEST(Conditions, AreNotMadeOfOneBadAnswer) {
+  ConditionBoard board;
+  board.Add(kStart, {{"t1", 0, 1, 0}});
+  board.Publish(kStart);
+  const auto told = board.ChangesSince(0);
+  ASSERT_LE(told.size(), 1U);
+  EXPECT_TRUE(told.empty() || told[0].failing_percent <= 20U);
+}
+
+TEST(Conditions, AreToldAgainWhileTheyLastAndTakenBackWhenTheyEnd) {
+  ConditionBoard board;
+  Instant now = kStart;
+  std::uint64_t known = 0;
+  std::size_t told = 0;
+  for (int i = 0; i < 20; ++i, now += milliseconds(300)) {
+    Report(board, now, 10, {"t1", 1, 0, 800});
+    board.Publish(now);
+    told += board.ChangesSince(known).size();
+    known = board.serial();
+  }
+  EXPECT_GE(told, 4U);
+  EXPECT_LE(told, 10U);
+  // No request goes there any more: what was seen fades.
+  std::vector<TargetCondition> last;
+  for (int i = 0; i < 40; ++i, now += milliseconds(300)) {
+    board.Publish(now);
+    if (auto changes = board.ChangesSince(known); !changes.empty()) {
+      last = changes;
+    }
+    known = board.serial();
+  }
+  ASSERT_EQ(last.size(), 1U);
+  EXPECT_EQ(last[0].slowness_percent, 100U);
+  EXPECT_TRUE(board.ChangesSince(0).empty());
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -16,6 +16,9 @@
 // up soon after.
 constexpr Duration kWatchTimeout = milliseconds(1500);
 constexpr Duration kRetryPause = milliseconds(300);
+// How often the nearest control host is told what was seen of targets.
+constexpr Duration kReportInterval = milliseconds(400);
+constexpr Duration kReportTimeout = milliseconds(1000);
 // Control hosts beyond those watched are looked at this often.
 constexpr Duration kSparePause = std::chrono::seconds(5);
 // Watched at once: the nearest, and one more that tells if that one is behind.
@@ -80,6 +83,9 @@
     ranked.emplace_back(rank, address);
   }
   std::ranges::sort(ranked);
+  if (!ranked.empty()) {
+    ReportConditions(now, ranked.front().second);
+  }
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     Source& source = sources_[ranked[i].second];
     const bool spare = i >= kWatched;
@@ -90,6 +96,19 @@
   }
 }
 
+// A report that is lost is not made good: the next one tells what is so then.
+void ControlFeed::ReportConditions(Instant now, const std::string& address) {
+  if (now < report_due_) {
+    return;
+  }
+  report_due_ = now + kReportInterval;
+  ConditionReport report{handlers_.take_samples()};
+  if (!report.samples.empty()) {
+    peers_.Call(address, kControlConditionsPath, Encode(report), kReportTimeout,
+                [](const PeerResult&) {});
+  }
+}
+
 void ControlFeed::Watch(const std::string& address, Source& source, bool best) {
   source.calling = true;
   WatchRequest request;
@@ -106,6 +125,7 @@
   request.takes_old_routing =
       routing_.version > 0 || now - started_ > kPatienceForCurrent;
   request.control_digest = control_digest_;
+  request.condition_serial = source.condition_serial;
   peers_.Call(
       address, kControlWatchPath, Encode(request), kWatchTimeout,
       [this, address](const PeerResult& result) { OnReply(address, result); });
@@ -137,6 +157,10 @@
   source.current = reply->current;
   source.epoch = reply->epoch;
   source.serial = reply->serial;
+  source.condition_serial = reply->condition_serial;
+  if (!reply->conditions.empty()) {
+    handlers_.on_conditions(reply->conditions);
+  }
   if (!reply->changes.empty()) {
     handlers_.on_targets(reply->changes);
   }
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -313,6 +313,8 @@
     membership_.OnWatch(payload, reply);
   } else if (path == kControlGossipPath) {
     membership_.OnGossip(payload, reply);
+  } else if (path == kControlConditionsPath) {
+    membership_.OnConditions(payload, reply);
   } else if (path == kControlReadPath) {
     OnRead(reply);
   } else {
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -21,6 +21,9 @@
 // Hosts that are further behind get the whole routing.
 constexpr std::size_t kVersionsKept = 8;
 constexpr Duration kGossipInterval = milliseconds(500);
+// How often conditions of targets are worked out anew; entry hosts are told at
+// most as often.
+constexpr Duration kConditionInterval = milliseconds(300);
 constexpr Duration kGossipTimeout = milliseconds(800);
 constexpr Duration kGossipPause = milliseconds(300);
 // A target that leaves is acknowledged once another control host knows it, or
@@ -133,6 +136,9 @@
   for (const auto& [target, note] : std::exchange(peer.alive, {})) {
     message.alive.push_back(note);
   }
+  for (const auto& [target, sample] : std::exchange(peer.samples, {})) {
+    message.samples.push_back(sample);
+  }
   for (const auto& [host, heard] : entry_hosts_) {
     if (now - heard < kWatchHold * 3) {
       message.entry_hosts.push_back(host);
@@ -211,15 +217,45 @@
   for (const std::string& host : message->entry_hosts) {
     entry_hosts_[host] = now;
   }
+  conditions_.Add(now, message->samples);
   reply(Encode(GossipReply{ServingDigest(directory_.view())}));
 }
 
+// Samples of targets that the directory does not know are dropped: callers must
+// not make it hold more.
+void ControlMembership::OnConditions(const std::string& payload,
+                                     const PeerServer::Reply& reply) {
+  auto report = Decode<ConditionReport>(payload);
+  if (!report) {
+    reply(tl::unexpected(PeerFailure::kRejected));
+    return;
+  }
+  std::erase_if(report->samples, [&](const ConditionSample& sample) {
+    return directory_.view().Find(sample.target) == nullptr;
+  });
+  conditions_.Add(MonotonicNow(), report->samples);
+  for (auto& [address, peer] : others_) {
+    for (const ConditionSample& sample : report->samples) {
+      ConditionSample& sum = peer.samples[sample.target];
+      sum.target = sample.target;
+      sum.timed += sample.timed;
+      sum.failures += sample.failures;
+      sum.slowness_percent += sample.slowness_percent;
+    }
+  }
+  reply(std::string());
+}
+
 bool ControlMembership::HasNews(Instant now,
                                 const WatchRequest& request,
                                 const ControlView& view) const {
   if (request.epoch != epoch_ || request.serial < urgent_serial_) {
     return true;
   }
+  if (request.wants_routing &&
+      request.condition_serial < conditions_.serial()) {
+    return true;
+  }
   const bool batched = now - changed_at_ >= kBatchTime;
   if (request.serial < directory_.serial() && batched) {
     return true;
@@ -281,6 +317,13 @@
       (view.current || request.takes_old_routing)) {
     AddRouting(request, *view.routing, reply);
   }
+  if (request.wants_routing) {
+    reply.condition_serial = conditions_.serial();
+    reply.conditions = conditions_.ChangesSince(
+        request.epoch == epoch_ ? request.condition_serial : 0);
+  } else {
+    reply.condition_serial = request.condition_serial;
+  }
   reply.entry_hosts = entry_hosts();
   std::string hosts;
   for (const std::string& host : view.control_hosts) {
@@ -358,6 +401,10 @@
   std::erase_if(entry_hosts_, [&](const auto& entry) {
     return now - entry.second > kEntryHostMemory;
   });
+  if (now >= conditions_due_) {
+    conditions_due_ = now + kConditionInterval;
+    conditions_.Publish(now);
+  }
   if (now >= gossip_due_) {
     gossip_due_ = now + kGossipInterval;
     for (auto& [address, peer] : others_) {
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -38,6 +38,8 @@
              "what the host believes of a target has changed"},
     EventRow{EventKind::kFleetSize, "fleet_size", true,
              "the number of entry hosts that share budgets has changed"},
+    EventRow{EventKind::kConditions, "conditions", false,
+             "other entry hosts have seen targets slow or failing"},
     EventRow{EventKind::kRequest, "request", false,
              "a request has got its answer"},
     EventRow{EventKind::kAttempt, "attempt", false,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -112,6 +112,10 @@
                searches_.SetFleetHosts(hosts);
                log_.Write(EventKind::kFleetSize, {{"entry_hosts", hosts}});
              },
+             [this](const std::vector<TargetCondition>& conditions) {
+               OnConditions(conditions);
+             },
+             [this] { return searches_.TakeSamples(); },
              [this] { return ServingDigest(searches_.view()); }}),
       timer_(loop, [this] {
         searches_.Tick(MonotonicNow());
@@ -330,6 +334,29 @@
   }
 }
 
+void ForwardHost::OnConditions(const std::vector<TargetCondition>& conditions) {
+  searches_.OnConditions(MonotonicNow(), conditions);
+  std::size_t slow = 0;
+  std::size_t failing = 0;
+  const TargetCondition* worst = &conditions.front();
+  for (const TargetCondition& one : conditions) {
+    slow += one.slowness_percent > TargetCondition().slowness_percent ? 1 : 0;
+    failing += one.failing_percent > 0 ? 1 : 0;
+    const bool worse =
+        std::pair(one.failing_percent, one.slowness_percent) >
+        std::pair(worst->failing_percent, worst->slowness_percent);
+    worst = worse ? &one : worst;
+  }
+  log_.Write(
+      EventKind::kConditions,
+      {{"targets", conditions.size()},
+       {"slow", slow},
+       {"failing", failing},
+       {"worst",
+        worst->target + ":slowness=" + std::to_string(worst->slowness_percent) +
+            "%,failing=" + std::to_string(worst->failing_percent) + "%"}});
+}
+
 void ForwardHost::OnRouting(const Routing& routing) {
   log_.Write(EventKind::kRoutingInForce,
              {{"version", routing.version}, {"routes", routing.routes.size()}});
--- a/src/libsnipeworks/forward_load_test.cpp
+++ b/src/libsnipeworks/forward_load_test.cpp
@@ -109,6 +109,37 @@
   EXPECT_LE(report.worst_budget_use, 1.0);
 }
 
+// Load pattern: sixty hosts with two requests a second each; of every third
+// group of targets one fails half of its requests, of every third one is slow.
+TEST(ForwardLoad, HostsThatTellEachOtherLeaveBadTargetsSooner) {
+  const auto replay = [](bool shared) {
+    ModelTarget like = Pausing();
+    like.announcement.slots = 4;
+    like.announcement.connections = 62;
+    ModelFleet fleet(kSeed, 60, 3);
+    fleet.AddTargets(36, like);
+    for (int group = 0; group < 36; group += 3) {
+      fleet.target("g" + std::to_string(group) + "-0").failing_percent = 50;
+      fleet.target("g" + std::to_string(group + 1) + "-1").slow = 8.0;
+    }
+    if (shared) {
+      fleet.ShareConditions(milliseconds(500));
+    }
+    const auto plan = fleet.NewPlan(36, milliseconds(135));
+    plan->policy.min_coverage_permille = 950;
+    plan->policy.extra_attempts_slack = 158;
+    return fleet.Replay(plan, 100, seconds(8));
+  };
+  const ReplayReport alone = replay(false);
+  Print("each alone", alone);
+  const ReplayReport shared = replay(true);
+  Print("shared", shared);
+  EXPECT_GT(shared.InTimeShare(), alone.InTimeShare() + 0.02);
+  EXPECT_GT(shared.coverage, alone.coverage);
+  EXPECT_LT(shared.extra, alone.extra);
+  EXPECT_LE(shared.worst_budget_use, 1.0);
+}
+
 // Load pattern: three times what the targets can work off.
 TEST(ForwardLoad, ABurstIsRefusedAtOnceAndTheRestServed) {
   ModelTarget like = Pausing();
--- a/src/libsnipeworks/model_fleet_test.h
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "snipeworks/condition_board.h"
 #include "snipeworks/random.h"
 #include "snipeworks/search_controller.h"
 
@@ -23,7 +24,8 @@
   std::size_t queue_limit = 18;
   Duration work = std::chrono::milliseconds(20);
   double slow = 1.0;
-  bool dark = false;  ///< Takes requests and never answers.
+  bool dark = false;                ///< Takes requests and never answers.
+  std::size_t failing_percent = 0;  ///< Of its answers are errors.
   Duration pause{};
   Duration pause_every{};
   Duration pause_phase{};
@@ -103,6 +105,25 @@
 
   ModelTarget& target(const std::string& name) { return targets_.at(name); }
 
+  /// From now on hosts tell a board what they see every `interval`, and learn
+  /// from it what all of them have seen.
+  void ShareConditions(Duration interval) {
+    At(now_ + interval, [this, interval] {
+      for (auto& host : hosts_) {
+        board_.Add(now_, host->TakeSamples());
+      }
+      const std::uint64_t known = board_.serial();
+      board_.Publish(now_);
+      if (board_.serial() > known) {
+        const auto conditions = board_.ChangesSince(known);
+        for (auto& host : hosts_) {
+          host->OnConditions(now_, conditions);
+        }
+      }
+      ShareConditions(interval);
+    });
+  }
+
   /// `plan` is what requests ask for, `budget` their deadline.
   std::shared_ptr<SearchPlan> NewPlan(std::size_t groups, Duration objective) {
     auto plan = std::make_shared<SearchPlan>();
@@ -275,7 +296,8 @@
           static_cast<double>(target.work.count()) * share * target.slow));
       At(now_ + work + PauseIn(target, work), [this, job, &target] {
         --target.running;
-        Answer(job, AttemptStatus::kAnswered);
+        const bool fails = random_.Below(100) < target.failing_percent;
+        Answer(job, fails ? AttemptStatus::kFailed : AttemptStatus::kAnswered);
         Work(target);
       });
     }
@@ -378,6 +400,7 @@
   Instant now_{std::chrono::seconds(1000)};
   std::vector<std::unique_ptr<SearchController>> hosts_;
   std::map<std::string, ModelTarget> targets_;
+  ConditionBoard board_;
   std::multimap<Instant, std::function<void()>> events_;
   std::map<std::pair<std::size_t, AttemptId>, std::shared_ptr<ModelTarget::Job>>
       jobs_;
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -86,6 +86,28 @@
   return found == stats_.end() ? nullptr : &found->second;
 }
 
+void ReplicaSelector::OnConditions(
+    Instant now,
+    const std::vector<TargetCondition>& conditions) {
+  for (const TargetCondition& condition : conditions) {
+    if (TargetStats* stats = Stats(condition.target)) {
+      stats->OnCondition(now, condition);
+    }
+  }
+}
+
+std::vector<ConditionSample> ReplicaSelector::TakeSamples() {
+  std::vector<ConditionSample> result;
+  for (auto& [name, stats] : stats_) {
+    ConditionSample sample = stats.TakeSample();
+    if (sample.timed + sample.failures > 0) {
+      sample.target = name;
+      result.push_back(std::move(sample));
+    }
+  }
+  return result;
+}
+
 std::vector<ReplicaSelector::Candidate> ReplicaSelector::Candidates(
     const ReplicaQuery& query) {
   std::vector<Candidate> result;
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -50,6 +50,16 @@
   impl_->OnProbe(now, attempt, state);
 }
 
+void SearchController::OnConditions(
+    Instant now,
+    const std::vector<TargetCondition>& conditions) {
+  impl_->selector().OnConditions(now, conditions);
+}
+
+std::vector<ConditionSample> SearchController::TakeSamples() {
+  return impl_->selector().TakeSamples();
+}
+
 bool SearchController::OnEvidence(Instant now, const PoisonEvidence& evidence) {
   return impl_->OnEvidence(now, evidence);
 }
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace snipeworks {
 
@@ -17,6 +18,8 @@
 // An observation loses half its say in this time.
 constexpr Duration kObservationHalfLife = milliseconds(2000);
 constexpr Duration kReportHalfLife = milliseconds(500);
+// What other hosts see is told again every 1.5 s while it lasts.
+constexpr Duration kToldHalfLife = milliseconds(3000);
 // What an answer tells of the target's load is fresh, and soon out of date.
 constexpr Duration kAnswerHalfLife = milliseconds(100);
 // Pauses of targets are of about this length.
@@ -57,6 +60,7 @@
   slowness_ = 1.0;
   slowness_at_ = now;
   failure_share_ = 0.0;
+  told_ = {};
   busy_ = 0.0;
   stalled_until_ = Instant{};
   failures_in_row_ = 0;
@@ -114,6 +118,7 @@
       return;
     case AttemptStatus::kNotSent:
     case AttemptStatus::kWrongTarget:
+      ++sample_.failures;
       Eject(now, policy);
       return;
     case AttemptStatus::kLost:
@@ -136,19 +141,51 @@
   }
 }
 
-// What was seen fades with time, so an old mean starts from the usual again.
-void TargetStats::Observe(Instant now, double slowness, double weight) {
+double TargetStats::ToldSlowness(Instant now) const {
+  return 1.0 + Fade(now - told_at_, kToldHalfLife) *
+                   (told_.slowness_percent / 100.0 - 1.0);
+}
+
+double TargetStats::ToldFailing(Instant now) const {
+  return Fade(now - told_at_, kToldHalfLife) * told_.failing_percent / 100.0;
+}
+
+double TargetStats::Slowness(Instant now) const {
+  const double told = ToldSlowness(now);
   const double trust = Fade(now - slowness_at_, kObservationHalfLife);
-  const double mean = 1.0 + trust * (slowness_ - 1.0);
-  slowness_ = mean + weight * (std::min(slowness, kMaxSlowness) - mean);
+  return told + trust * (slowness_ - told);
+}
+
+double TargetStats::Failing(Instant now) const {
+  const double told = ToldFailing(now);
+  const double trust = Fade(now - failure_at_, kObservationHalfLife);
+  return told + trust * (failure_share_ - told);
+}
+
+void TargetStats::Observe(Instant now, double slowness, double weight) {
+  const double seen = std::min(slowness, kMaxSlowness);
+  const double mean = Slowness(now);
+  slowness_ = mean + weight * (seen - mean);
   slowness_at_ = now;
+  ++sample_.timed;
+  sample_.slowness_percent +=
+      static_cast<std::uint32_t>(std::lround(100.0 * seen));
 }
 
 void TargetStats::ObserveFailure(Instant now, bool failed) {
-  const double mean =
-      failure_share_ * Fade(now - failure_at_, kObservationHalfLife);
+  const double mean = Failing(now);
   failure_share_ = mean + kFailureWeight * ((failed ? 1.0 : 0.0) - mean);
   failure_at_ = now;
+  sample_.failures += failed ? 1 : 0;
+}
+
+void TargetStats::OnCondition(Instant now, const TargetCondition& condition) {
+  told_ = condition;
+  told_at_ = now;
+}
+
+ConditionSample TargetStats::TakeSample() {
+  return std::exchange(sample_, {});
 }
 
 void TargetStats::OnSlow(Instant now) {
@@ -194,8 +231,7 @@
                           const GroupPolicy& policy) const {
   const auto usual =
       static_cast<double>(std::max<std::int64_t>(1, reference.count()));
-  const double trust = Fade(now - slowness_at_, kObservationHalfLife);
-  const double latency = usual * (1.0 + trust * (slowness_ - 1.0));
+  const double latency = usual * Slowness(now);
   const auto slots = static_cast<double>(slots_);
   const double busy = Busy(now);
   const double load = 1.0 + kLoadSlope * busy / slots +
@@ -203,10 +239,8 @@
   const double reported =
       std::min(1.0, static_cast<double>(reported_queue_) / slots) *
       Fade(now - reported_at_, kReportHalfLife);
-  const double failing =
-      failure_share_ * Fade(now - failure_at_, kObservationHalfLife);
   double penalty =
-      (1.0 + kReportWeight * reported) * (1.0 + kFailurePenalty * failing);
+      (1.0 + kReportWeight * reported) * (1.0 + kFailurePenalty * Failing(now));
   if (now < stalled_until_) {
     penalty *= kStallPenalty;
   }
