--- a/src/include/snipeworks/extra_budget.h
+++ b/src/include/snipeworks/extra_budget.h
@@ -15,6 +15,9 @@
   double ratio = 0.05;  ///< Extra attempts for each primary one.
   double slack = 0.0;   ///< Extra attempts allowed at any load, in the window.
   Duration window = std::chrono::seconds(10);
+  /// Added before the number of extra attempts is rounded down, from 0 to 1.
+  /// With another one at each host, what all of them lose to rounding is nil.
+  double rounding = 0.0;
 
   friend auto operator<=>(const ExtraBudgetLimits&,
                           const ExtraBudgetLimits&) = default;
--- a/src/libsnipeworks/extra_budget.cpp
+++ b/src/libsnipeworks/extra_budget.cpp
@@ -49,7 +49,7 @@
                           double reserve) {
   const Sums sums = Sum(now, limits.window);
   const double allowed = limits.ratio * sums.primary + limits.slack;
-  if (sums.extra + 1.0 > allowed * (1.0 - reserve)) {
+  if (sums.extra + 1.0 > allowed * (1.0 - reserve) + limits.rounding) {
     return false;
   }
   ++Current(now, limits.window).extra;
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace snipeworks {
 
 namespace {
@@ -15,6 +17,8 @@
 // Attempts cross the edges of a window on their way to the targets, so hosts
 // keep a little under what all of them together may send.
 constexpr double kExtraMargin = 0.9;
+// With fewer hosts, what they round up together could exceed the margin.
+constexpr std::uint32_t kHostsToRound = 8;
 constexpr Duration kEndless = std::chrono::hours(24 * 365 * 10);
 
 bool SameHoldings(const Announcement& a, const Announcement& b) {
@@ -44,11 +48,17 @@
   selector_.SetFleetHosts(config_.fleet_hosts);
 }
 
-ExtraBudgetLimits SearchEngine::ExtraLimits(const GroupPolicy& policy) const {
+ExtraBudgetLimits SearchEngine::ExtraLimits(const GroupPolicy& policy,
+                                            const std::string& group) const {
   ExtraBudgetLimits limits = policy.extra_limits();
   limits.slack *= kExtraMargin / config_.fleet_hosts;
   if (limits.slack > 0.0) {
     limits.ratio *= kExtraMargin;
+    if (config_.fleet_hosts >= kHostsToRound) {
+      const auto drawn =
+          XXH3_64bits_withSeed(group.data(), group.size(), config_.seed);
+      limits.rounding = static_cast<double>(drawn >> 11) * 0x1p-53;
+    }
   }
   return limits;
 }
@@ -57,14 +67,15 @@
                              const GroupPolicy& policy,
                              const std::string& group,
                              double reserve) {
-  return extra_budgets_[group].TryTake(now, ExtraLimits(policy), reserve);
+  return extra_budgets_[group].TryTake(now, ExtraLimits(policy, group),
+                                       reserve);
 }
 
 std::optional<Duration> SearchEngine::HedgeDelay(Instant now,
                                                  const AttemptRun& run) {
   const GroupState& group = EnsureGroup(run.group);
-  const double left =
-      extra_budgets_[run.target_group].Fullness(now, ExtraLimits(group.policy));
+  const double left = extra_budgets_[run.target_group].Fullness(
+      now, ExtraLimits(group.policy, run.target_group));
   return group.HedgeDelay(now, left);
 }
 
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -131,7 +131,8 @@
   void MarkReady(const Announcement& target);
   void PruneGroups(Instant now);
   /// What this host may spend of the extra attempts on one group's targets.
-  ExtraBudgetLimits ExtraLimits(const GroupPolicy& policy) const;
+  ExtraBudgetLimits ExtraLimits(const GroupPolicy& policy,
+                                const std::string& group) const;
   bool TakeExtra(Instant now,
                  const GroupPolicy& policy,
                  const std::string& group,
