Turn callers away at once where an entry host is cut off from other zones

Change: a host that has had no response from targets of other zones to eight attempts or more for 0.4 s, and hears no control host with a quorum, goes unready, refuses what its own zone cannot serve with 503 and a time to come back of 10 ms, and closes the connection; it is back with the first response or control host, and tries again after 8 s in any case. Control hosts tell at once when they lose or find a leader.

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -120,6 +120,9 @@
   friend bool operator==(const ProbeAnswer&, const ProbeAnswer&) = default;
 };
 
+/// True if the target sent a response, whatever it says.
+bool HasResponded(const AttemptOutcome& outcome);
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_ATTEMPT_H_
--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -47,6 +47,8 @@
   std::uint64_t routing_version() const { return routing_.version; }
   /// True once any control host has told what it knows.
   bool informed() const { return informed_; }
+  /// True if a control host that hears a leader with a quorum answered lately.
+  bool quorum_in_reach(Instant now) const;
   /// Control hosts that answered lately.
   std::size_t connected(Instant now) const;
 
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -17,6 +17,7 @@
 #include "snipeworks/http_listener.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/random.h"
+#include "snipeworks/reach_monitor.h"
 #include "snipeworks/search_controller.h"
 
 namespace snipeworks {
@@ -70,6 +71,9 @@
                  const FinishSearch& finish,
                  int status);
   void OnOutcome(AttemptId attempt, const AttemptOutcome& outcome);
+  bool IsElsewhere(const std::string& target) const;
+  /// True if the targets of this host's zone are enough for `plan`.
+  bool ZoneCanServe(Instant now, const SearchPlan& plan) const;
   void OnTargets(const std::vector<Announcement>& changes);
   void OnRouting(const Routing& routing);
   void OnConditions(const std::vector<TargetCondition>& conditions);
@@ -88,6 +92,7 @@
   PeerClient peers_;
   ForwardGateway gateway_;
   ControlFeed feed_;
+  ReachMonitor reach_;
   LoopTimer timer_;
   std::unique_ptr<HttpListener> front_;
   std::unique_ptr<HttpListener> ready_listener_;
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -35,13 +35,15 @@
   std::uint64_t control_digest = 0;  ///< Of the control hosts known.
   /// Of the newest conditions known; conditions are told with routes.
   std::uint64_t condition_serial = 0;
+  /// What the control host last told: that it hears a leader with a quorum.
+  bool told_current = false;
 };
 
 template <SameStruct<WatchRequest> S>
 auto WireFields(S& v) {
   return std::tie(v.host, v.zone, v.epoch, v.serial, v.routing_version,
                   v.heard_version, v.wants_routing, v.takes_old_routing,
-                  v.control_digest, v.condition_serial);
+                  v.control_digest, v.condition_serial, v.told_current);
 }
 
 /// The answer to a WatchRequest.
--- a/src/libsnipeworks/attempt.cpp
+++ b/src/libsnipeworks/attempt.cpp
@@ -60,4 +60,23 @@
   return "failed";
 }
 
+bool HasResponded(const AttemptOutcome& outcome) {
+  switch (outcome.status) {
+    case AttemptStatus::kAnswered:
+    case AttemptStatus::kShed:
+    case AttemptStatus::kDraining:
+    case AttemptStatus::kWrongTarget:
+    case AttemptStatus::kWrongSnapshot:
+      return true;
+    case AttemptStatus::kFailed:
+      return outcome.answer != nullptr;
+    case AttemptStatus::kNotSent:
+    case AttemptStatus::kLost:
+    case AttemptStatus::kSilent:
+    case AttemptStatus::kCancelled:
+      return false;
+  }
+  return false;
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -15,6 +15,8 @@
 // A control host answers within its hold of 1 s; a silent connection is given
 // up soon after.
 constexpr Duration kWatchTimeout = milliseconds(1500);
+// A control host in reach has answered within its hold and a little more.
+constexpr Duration kAnswerDue = milliseconds(1250);
 constexpr Duration kRetryPause = milliseconds(300);
 // How often the nearest control host is told what was seen of targets.
 constexpr Duration kReportInterval = milliseconds(400);
@@ -70,6 +72,13 @@
       }));
 }
 
+bool ControlFeed::quorum_in_reach(Instant now) const {
+  return std::ranges::any_of(sources_, [&](const auto& entry) {
+    const Source& source = entry.second;
+    return source.answered && source.current && now - source.heard < kAnswerDue;
+  });
+}
+
 // Hosts that answer are preferred, then those in touch with a quorum, then
 // those of the own zone; the rest get a call now and then, so that one that has
 // come back is found.
@@ -126,6 +135,7 @@
       routing_.version > 0 || now - started_ > kPatienceForCurrent;
   request.control_digest = control_digest_;
   request.condition_serial = source.condition_serial;
+  request.told_current = source.current;
   peers_.Call(
       address, kControlWatchPath, Encode(request), kWatchTimeout,
       [this, address](const PeerResult& result) { OnReply(address, result); });
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -249,7 +249,8 @@
 bool ControlMembership::HasNews(Instant now,
                                 const WatchRequest& request,
                                 const ControlView& view) const {
-  if (request.epoch != epoch_ || request.serial < urgent_serial_) {
+  if (request.epoch != epoch_ || request.serial < urgent_serial_ ||
+      request.told_current != view.current) {
     return true;
   }
   if (request.wants_routing &&
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -26,6 +26,8 @@
 // One success in so many is written to the log.
 constexpr std::uint64_t kSuccessSample = 64;
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
+// Another host serves the caller at once.
+constexpr Duration kCutOffRetryAfter = milliseconds(10);
 constexpr Duration kIdleCheck = milliseconds(50);
 // Before the limit of a shutdown, so that the last answers get out.
 constexpr Duration kLastAnswers = milliseconds(400);
@@ -180,7 +182,8 @@
 }
 
 bool ForwardHost::ready() const {
-  return !leaving_ && planner_.table() != nullptr && feed_.informed();
+  return !leaving_ && planner_.table() != nullptr && feed_.informed() &&
+         !reach_.cut_off();
 }
 
 void ForwardHost::Leave(const std::function<void()>& done) {
@@ -236,6 +239,13 @@
            {ErrorKind::kUnknownRoute, "no route leads from here", {}});
     return;
   }
+  auto plan = planner_.Plan(*route);
+  if (reach_.cut_off() && !ZoneCanServe(now, *plan)) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "this host is cut off from other zones",
+            kCutOffRetryAfter});
+    return;
+  }
   const Duration timeout = milliseconds(route->timeout_ms);
   Running running;
   running.request.id = next_request_++;
@@ -244,7 +254,7 @@
   running.request.budget = std::min(
       timeout,
       ReadDeadline(request.Header(names_.deadline_ms)).value_or(timeout));
-  running.request.plan = planner_.Plan(*route);
+  running.request.plan = std::move(plan);
   running.request.group = running.request.plan->name;
   running.exchange = exchange;
   running.top_records = route->top_records;
@@ -292,10 +302,13 @@
 void ForwardHost::Reject(ExchangeId exchange,
                          const HttpRequest& request,
                          const Error& error) {
-  const HttpResponse response = ToHttp(error, RetryAfterForm::kFraction);
+  HttpResponse response = ToHttp(error, RetryAfterForm::kFraction);
+  // The balancer leads the caller's next connection to another host.
+  response.close = response.close || reach_.cut_off();
   log_.Write(EventKind::kRequestRejected,
              {{"request", request.Header(names_.request_id)},
               {"reason", RowOf(error.kind).name},
+              {"detail", error.detail},
               {"http_host", request.Header("Host")},
               {"path", request.path},
               {"status", response.status},
@@ -391,17 +404,36 @@
   if (acted) {
     SetNextTimer();
   }
+  reach_.Update(now, feed_.quorum_in_reach(now));
   LogReadiness();
   log_.Flush();
 }
 
+bool ForwardHost::IsElsewhere(const std::string& target) const {
+  const Announcement* known = searches_.view().Find(target);
+  return known != nullptr && known->zone != settings_.zone();
+}
+
+bool ForwardHost::ZoneCanServe(Instant now, const SearchPlan& plan) const {
+  const auto covered =
+      std::ranges::count_if(plan.groups, [&](const std::string& group) {
+        return std::ranges::any_of(searches_.view().UsableInGroup(now, group),
+                                   [&](const Announcement* target) {
+                                     return target->zone == settings_.zone();
+                                   });
+      });
+  return covered * 1000 >=
+         plan.policy.min_coverage_permille * std::ssize(plan.groups);
+}
+
 void ForwardHost::LogReadiness() {
   const bool now_ready = ready();
   if (now_ready != std::exchange(told_ready_, now_ready)) {
     log_.Write(now_ready ? EventKind::kReady : EventKind::kUnready,
                {{"routing_version", feed_.routing_version()},
                 {"targets", searches_.view().All().size()},
-                {"leaving", leaving_}});
+                {"leaving", leaving_},
+                {"cut_off", reach_.cut_off()}});
   }
 }
 
@@ -409,6 +441,9 @@
   if (const auto* start = std::get_if<StartAttempt>(&action)) {
     const AttemptCommand& command = start->command;
     metrics_.OnAttempt(command.group, command.kind);
+    if (IsElsewhere(command.target)) {
+      reach_.OnSent(MonotonicNow());
+    }
     if (const Announcement* target = searches_.view().Find(command.target)) {
       gateway_.SetShare(command.address, searches_.ConnectionShare(*target));
     }
@@ -441,10 +476,13 @@
 
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
   metrics_.OnOutcome(outcome.status);
+  const auto [request, target] = searches_.AttemptOf(attempt);
+  if (HasResponded(outcome) && IsElsewhere(target)) {
+    reach_.OnResponse();
+  }
   const bool expected = outcome.status == AttemptStatus::kAnswered ||
                         outcome.status == AttemptStatus::kCancelled;
   if (!expected) {
-    const auto [request, target] = searches_.AttemptOf(attempt);
     auto running = running_.find(request);
     log_.Write(
         EventKind::kAttempt,
--- /dev/null
+++ b/src/libsnipeworks/reach_monitor_test.cpp
@@ -0,0 +1,75 @@
+#include "snipeworks/reach_monitor.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+
+// One search over forty targets of other zones, none of which responds.
+void SendInVain(ReachMonitor& monitor, Instant now) {
+  for (int i = 0; i < 40; ++i) {
+    monitor.OnSent(now);
+  }
+}
+
+TEST(Reach, IsLostWhenNeitherTargetsNorAQuorumOfOtherZonesRespond) {
+  ReachMonitor monitor;
+  SendInVain(monitor, kStart);
+  monitor.Update(kStart + milliseconds(100), false);
+  EXPECT_FALSE(monitor.cut_off());
+  monitor.Update(kStart + milliseconds(500), false);
+  EXPECT_TRUE(monitor.cut_off());
+}
+
+TEST(Reach, IsNotLostWhileAQuorumIsHeard) {
+  ReachMonitor monitor;
+  SendInVain(monitor, kStart);
+  monitor.Update(kStart + seconds(2), true);
+  EXPECT_FALSE(monitor.cut_off());
+}
+
+// The control hosts are down, and targets respond.
+TEST(Reach, IsNotLostWhileTargetsOfOtherZonesRespond) {
+  ReachMonitor monitor;
+  for (int i = 0; i < 20; ++i) {
+    SendInVain(monitor, kStart + i * milliseconds(100));
+    monitor.OnResponse();
+    monitor.Update(kStart + i * milliseconds(100) + milliseconds(90), false);
+    EXPECT_FALSE(monitor.cut_off());
+  }
+}
+
+TEST(Reach, IsRegainedWithAQuorumOrAResponse) {
+  for (const bool by_response : {false, true}) {
+    ReachMonitor monitor;
+    SendInVain(monitor, kStart);
+    monitor.Update(kStart + seconds(1), false);
+    ASSERT_TRUE(monitor.cut_off());
+    if (by_response) {
+      monitor.OnResponse();
+    }
+    monitor.Update(kStart + seconds(2), !by_response);
+    EXPECT_FALSE(monitor.cut_off());
+  }
+}
+
+// Without a quorum for good, the host serves again and finds out anew.
+TEST(Reach, IsTriedAgainAfterSomeSeconds) {
+  ReachMonitor monitor;
+  SendInVain(monitor, kStart);
+  monitor.Update(kStart + seconds(1), false);
+  ASSERT_TRUE(monitor.cut_off());
+  monitor.Update(kStart + seconds(9), false);
+  EXPECT_FALSE(monitor.cut_off());
+  SendInVain(monitor, kStart + seconds(9));
+  monitor.Update(kStart + seconds(10), false);
+  EXPECT_TRUE(monitor.cut_off());
+}
+
+}  // namespace
+}  // namespace snipeworks
