Prefer targets to which a connection is open

Change: a target that has answered within 4 s and runs nothing for this host counts 1.4 times less than one to which a connection would have to be opened.

--- a/src/include/snipeworks/target_stats.h
+++ b/src/include/snipeworks/target_stats.h
@@ -96,6 +96,7 @@
   Instant busy_at_{};
   Instant stalled_until_{};
   Instant cold_until_{};
+  Instant connected_until_{};  ///< An open connection is there until then.
   int failures_in_row_ = 0;
   int ejections_ = 0;
   Instant ejected_until_{};
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -27,6 +27,10 @@
 constexpr double kStallPenalty = 4.0;
 constexpr double kFailurePenalty = 4.0;
 constexpr double kColdPenalty = 1.5;
+// A connection has to be opened first, which takes time here and a slot there.
+constexpr double kConnectPenalty = 1.4;
+// Targets close idle connections a few seconds after their last answer.
+constexpr Duration kConnectionKept = milliseconds(4000);
 // A target slows down a little before all of its slots are taken.
 constexpr double kLoadSlope = 0.3;
 constexpr double kMaxSlowness = 50.0;
@@ -105,6 +109,10 @@
   const double slowness =
       static_cast<double>(latency.count()) /
       static_cast<double>(std::max<std::int64_t>(1, usual.count()));
+  // What ends without an answer ends with its connection.
+  const bool kept = outcome.status == AttemptStatus::kAnswered ||
+                    outcome.status == AttemptStatus::kShed;
+  connected_until_ = kept ? now + kConnectionKept : Instant{};
   switch (outcome.status) {
     case AttemptStatus::kAnswered:
       Observe(now, slowness, kSlownessWeight);
@@ -247,6 +255,9 @@
   if (now < cold_until_) {
     penalty *= kColdPenalty;
   }
+  if (in_flight_ > 0 || now >= connected_until_) {
+    penalty *= kConnectPenalty;
+  }
   const auto age = std::chrono::duration<double>(now - first_seen_).count();
   const auto warm_up =
       std::chrono::duration<double>(milliseconds(policy.slow_start_ms)).count();
