Write log lines without a tree of values, and several at once

Each line built an ordered JSON document, and each turn of the loop with a line made a system call. Change: fields are appended to the buffer directly, texts that need escapes still go through the library; a turn hands lines over if one of a kind that is always written waits, from 8 KB on, or after 50 ms.

--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -103,9 +103,11 @@
   /// True if a line of a kind that is not always written would be written.
   bool HasRoom() const;
 
-  /// Hands what was written to the descriptor. To be called once a turn of the
-  /// loop.
+  /// Hands what was written to the descriptor.
   void Flush();
+  /// Does so if a line of a kind that is always written waits, or many lines,
+  /// or some for a while. To be called once a turn of the loop.
+  void FlushIfDue(Instant now);
 
   std::uint64_t lines() const { return lines_; }
   std::uint64_t dropped() const { return dropped_; }
@@ -118,6 +120,8 @@
   std::string host_;
   EventLogLimits limits_;
   std::string buffer_;
+  bool urgent_ = false;  ///< A line of a kind that is always written waits.
+  Instant flushed_at_{};
   std::int64_t second_ = 0;
   std::uint32_t in_second_ = 0;
   std::uint64_t lines_ = 0;
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -413,7 +413,7 @@
   }
   membership_.AfterTurn();
   LogBeliefs();
-  log_.Flush();
+  log_.FlushIfDue(MonotonicNow());
 }
 
 void ControlHost::LogBeliefs() {
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -3,9 +3,13 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
+#include <cmath>
+#include <string>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +18,10 @@
 
 namespace {
 
+// One write for the lines of several turns costs less than one for each.
+constexpr std::size_t kFlushBytes = std::size_t{8} * 1024;
+constexpr Duration kFlushInterval = std::chrono::milliseconds(50);
+
 // A turn's lines are written together once there are this many bytes, or the
 // loop has nothing else to do.
 constexpr std::size_t kMaxWrite = std::size_t{64} * 1024;
@@ -84,11 +92,45 @@
   return kTable[static_cast<std::size_t>(kind)];
 }
 
-nlohmann::json ToJson(const EventField& field) {
-  return std::visit([](const auto& value) { return nlohmann::json(value); },
-                    field.value);
+// Most texts need no escapes and are copied as they are.
+void AppendText(std::string& out, std::string_view text) {
+  const bool plain = std::ranges::all_of(text, [](char one) {
+    return one >= ' ' && one <= '~' && one != '"' && one != '\\';
+  });
+  if (plain) {
+    out += '"';
+    out += text;
+    out += '"';
+  } else {
+    out += nlohmann::json(text).dump(-1, ' ', false,
+                                     nlohmann::json::error_handler_t::replace);
+  }
+}
+
+template <typename Number>
+void AppendNumber(std::string& out, Number number) {
+  std::array<char, 32> digits{};
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), number).ptr;
+  out.append(digits.data(), end);
 }
 
+struct AppendValue {
+  std::string& out;
+
+  void operator()(bool value) const { out += value ? "true" : "false"; }
+  void operator()(std::int64_t value) const { AppendNumber(out, value); }
+  void operator()(std::string_view value) const { AppendText(out, value); }
+  // JSON has no words for what is not finite.
+  void operator()(double value) const {
+    if (std::isfinite(value)) {
+      AppendNumber(out, value);
+    } else {
+      out += "null";
+    }
+  }
+};
+
 double WallSeconds() {
   return std::chrono::duration<double>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -138,25 +180,38 @@
     return;
   }
   in_second_ += row.always ? 0 : 1;
+  urgent_ = urgent_ || row.always;
   Append(row, {fields.begin(), fields.size()});
 }
 
 void EventLog::Append(const EventRow& row, std::span<const EventField> fields) {
-  nlohmann::ordered_json line;
-  line["time"] = WallSeconds();
-  line["host"] = host_;
-  line["event"] = row.name;
+  buffer_ += R"({"time":)";
+  AppendNumber(buffer_, WallSeconds());
+  buffer_ += R"(,"host":)";
+  AppendText(buffer_, host_);
+  buffer_ += R"(,"event":)";
+  AppendText(buffer_, row.name);
   for (const EventField& field : fields) {
-    line[std::string(field.name)] = ToJson(field);
+    buffer_ += ',';
+    AppendText(buffer_, field.name);
+    buffer_ += ':';
+    std::visit(AppendValue{buffer_}, field.value);
   }
-  buffer_ += line.dump(-1, ' ', false,
-                       nlohmann::ordered_json::error_handler_t::replace);
-  buffer_ += '\n';
+  buffer_ += "}\n";
   ++lines_;
 }
 
+void EventLog::FlushIfDue(Instant now) {
+  if (urgent_ || buffer_.size() >= kFlushBytes ||
+      now - flushed_at_ >= kFlushInterval) {
+    flushed_at_ = now;
+    Flush();
+  }
+}
+
 // What is left when the descriptor takes no more is tried again next time.
 void EventLog::Flush() {
+  urgent_ = false;
   while (!buffer_.empty()) {
     const ssize_t written =
         write(descriptor_, buffer_.data(), std::min(buffer_.size(), kMaxWrite));
--- a/src/libsnipeworks/event_log_test.cpp
+++ b/src/libsnipeworks/event_log_test.cpp
@@ -47,6 +47,20 @@
   EXPECT_EQ(line["ok"], true);
 }
 
+TEST_F(EventLogs, HandOverManyLinesAtOnceAndUrgentOnesWithoutDelay) {
+  EventLog log(ends[1], "h");
+  const Instant now{std::chrono::seconds(1000)};
+  log.FlushIfDue(now);
+  log.Write(EventKind::kAttempt, {{"latency_ms", 0.5}});
+  log.FlushIfDue(now + std::chrono::milliseconds(1));
+  EXPECT_EQ(Read(), "");
+  log.FlushIfDue(now + std::chrono::milliseconds(60));
+  EXPECT_NE(Read().find(R"("latency_ms":0.5})"), std::string::npos);
+  log.Write(EventKind::kReady, {});
+  log.FlushIfDue(now + std::chrono::milliseconds(61));
+  EXPECT_NE(Read().find("\"ready\""), std::string::npos);
+}
+
 TEST_F(EventLogs, LeaveOutAndCountWhatIsTooMuchForASecond) {
   EventLog log(ends[1], "h", {.lines_per_second = 10});
   for (int i = 0; i < 50; ++i) {
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -406,7 +406,7 @@
   }
   reach_.Update(now, feed_.quorum_in_reach(now));
   LogReadiness();
-  log_.Flush();
+  log_.FlushIfDue(now);
 }
 
 bool ForwardHost::IsElsewhere(const std::string& target) const {
