--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -21,6 +21,11 @@
   std::size_t quarantined = 0;
   std::uint64_t settings_version = 0;
   bool ready = false;
+  bool cut_off = false;  ///< From other zones.
+  std::uint64_t log_lines = 0;
+  std::uint64_t log_lines_dropped = 0;
+  std::size_t control_hosts = 0;  ///< That answered lately.
+  std::size_t connections = 0;    ///< Of callers.
   PeerTraffic peers;
 };
 
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -82,6 +82,20 @@
                              "Version of the settings in force here");
   Gauge& ready =
       OneGauge(registry, "snipeworks_ready", "1 if this host takes requests");
+  Gauge& cut_off = OneGauge(registry,
+                            "snipeworks_cut_off",
+                            "1 if this host reaches no other zone");
+  Gauge& log_lines =
+      OneGauge(registry, "snipeworks_log_lines", "Event lines written");
+  Gauge& log_lines_dropped = OneGauge(registry,
+                                      "snipeworks_log_lines_dropped",
+                                      "Event lines left out");
+  Gauge& control_hosts = OneGauge(registry,
+                                  "snipeworks_control_hosts",
+                                  "Control hosts that answered lately");
+  Gauge& connections = OneGauge(registry,
+                                "snipeworks_caller_connections",
+                                "Open connections of callers");
   Gauge& sent = OneGauge(registry,
                          "snipeworks_peer_sent_bytes",
                          "Bytes sent to other hosts of the system");
@@ -143,6 +157,11 @@
   impl_->quarantined.Set(static_cast<double>(gauges.quarantined));
   impl_->settings.Set(static_cast<double>(gauges.settings_version));
   impl_->ready.Set(gauges.ready ? 1.0 : 0.0);
+  impl_->cut_off.Set(gauges.cut_off ? 1.0 : 0.0);
+  impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
+  impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
+  impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
+  impl_->connections.Set(static_cast<double>(gauges.connections));
   impl_->sent.Set(static_cast<double>(gauges.peers.bytes_sent));
   impl_->received.Set(static_cast<double>(gauges.peers.bytes_received));
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -627,6 +627,11 @@
       }));
   gauges.settings_version = feed_.routing_version();
   gauges.ready = ready();
+  gauges.cut_off = reach_.cut_off();
+  gauges.log_lines = log_.lines();
+  gauges.log_lines_dropped = log_.dropped();
+  gauges.control_hosts = feed_.connected(now);
+  gauges.connections = front_->connections();
   gauges.peers = peers_.traffic();
   return metrics_.Page(gauges);
 }
