Prove the new mechanisms by taking them out

Cause: of ten mutations for the new mechanisms two still passed (the patience with a joining host, since forwarded joins and early appends cover for each other; the second question to a target, since a reset alone counts as a loss by now), one did not build. Change: tests for a host over a slow link and for a target that answers the second question; the mutations aim at what each test is for.

--- a/src/libsnipeworks/consensus_members_test.cpp
+++ b/src/libsnipeworks/consensus_members_test.cpp
@@ -101,6 +101,23 @@
       << cluster->Describe();
 }
 
+// The first answers of the host come later than the leader looks after its
+// members.
+TEST(Members, TakeInAHostOverASlowLink) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    auto cluster = FakeCluster::Together(seed, 3);
+    ASSERT_TRUE(cluster->RunUntil([&] { return cluster->Leader() != nullptr; },
+                                  seconds(10)));
+    cluster->Run(seconds(60));
+    cluster->max_delay_ms = 150;
+    cluster->AddHost();
+    EXPECT_TRUE(
+        cluster->RunUntil([&] { return cluster->Voters() == 4; }, seconds(3)))
+        << "seed " << seed << "\n"
+        << cluster->Describe();
+  }
+}
+
 // Two of five lose their disks twice, the second time while the others lose
 // power: what was lost before must have been made up for.
 TEST(Members, BearALossOfDisksAgainAfterOneWasWiped) {
--- a/src/libsnipeworks/target_gateway_test.cpp
+++ b/src/libsnipeworks/target_gateway_test.cpp
@@ -65,6 +65,15 @@
   EXPECT_EQ(EndOfAttempt(server.address()), AttemptStatus::kLost);
 }
 
+TEST(Losses, AreNotCountedWhereTheTargetAnswersTheSecondQuestion) {
+  const ScriptedServer server(
+      {ReadAndReset, ReadAndReset, [](const Socket& socket) {
+         socket.ReadUntil("\r\n\r\n");
+         socket.Send(ProbeAnswerOf(7));
+       }});
+  EXPECT_EQ(EndOfAttempt(server.address()), AttemptStatus::kSilent);
+}
+
 // A process that ends closes its sockets one after the other: for a moment its
 // listener still takes connections, and resets them.
 TEST(Losses, AreSeenWhileTheTargetIsStillClosingItsSockets) {
