Count no stop from outside as held by an entry host; let paused ones go on

Alone the kill came first and the callers saw a closed connection (status 0, not judged); beside load the host answered in between, late by its stop. The check now deducts the time in which that very host was stopped, and a pause ends with the process going on with what it held, not with a kill, so that resumed hosts are judged too. The operator draws from a source of its own, so that a seed's faults don't hang on its pace, and a failure prints what was brought about and when.

--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -89,6 +89,9 @@
     def __init__(self, deployment, seed, seconds):
         self.deployment = deployment
         self.random = random.Random(seed)
+        self.operators_random = random.Random(-seed)  # The faults don't hang on its pace.
+        self.timeline = []  # What was brought about, for whoever reads a failure.
+        self.pauses = {}  # Entry host's address -> [[from, until]], until None while it lasts.
         self.until = time.time() + seconds
         self.failures = []
         self.counts = {}
@@ -104,6 +107,17 @@
         with self.lock:
             self.failures.append(f"{time.time():.3f} {what}")
 
+    def note(self, what):
+        with self.lock:
+            self.timeline.append(f"{time.time():.3f} {what}")
+
+    def paused(self, entry, since):
+        """Seconds after `since` in which an entry host was stopped from outside."""
+        now = time.time()
+        with self.lock:
+            return sum(max(0.0, (until or now) - max(begun, since))
+                       for begun, until in self.pauses.get(entry, []))
+
     def callers(self, number):
         chance = random.Random(number)
         kept = {}
@@ -130,14 +144,16 @@
                 if fault:
                     self.fail(f"search {call.id} at {entry}: {fault}")
             self.count(f"status {call.status}")
-            if call.took > call.deadline_ms / 1000 + 1.0 and call.status:
-                self.fail(f"{call.id} was held for {call.took:.2f} s")
+            # Nothing is asked of a host while it is stopped from outside.
+            held = call.took - self.paused(entry, time.time() - call.took)
+            if held > call.deadline_ms / 1000 + 1.0 and call.status:
+                self.fail(f"{call.id} to {entry} was held for {held:.2f} s")
             time.sleep(chance.uniform(0, 0.01))
 
     def operator(self):
         while time.time() < self.until:
             status = self.deployment.replace(self.deployment.routes(),
-                                             self.random.choice(self.deployment.controls))
+                                             self.operators_random.choice(self.deployment.controls))
             if status == 200:
                 with self.lock:
                     self.acknowledged.append((self.deployment.version, time.time()))
@@ -145,14 +161,14 @@
             elif status in (400, 409, 422):
                 self.fail(f"a valid version was refused with {status}")
             asked = time.time()
-            held = self.deployment.read(self.random.choice(self.deployment.controls))
+            held = self.deployment.read(self.operators_random.choice(self.deployment.controls))
             if held:
                 self.count("versions read")
                 due = max(version for version, when in self.acknowledged if when < asked - GRACE) \
                     if self.acknowledged[0][1] < asked - GRACE else 0
                 if held["version"] < due:
                     self.fail(f"read version {held['version']} after {due} was acknowledged")
-            time.sleep(self.random.uniform(0.1, 0.6))
+            time.sleep(self.operators_random.uniform(0.1, 0.6))
 
     def run(self):
         workers = [threading.Thread(target=self.callers, args=(i,)) for i in range(6)]
@@ -200,6 +216,7 @@
             return self.take_away(name, kind, time.time() + length)
         if kind in ("silent", "cut-out", "cut-back", "delay", "reset"):
             proxy = self.random.choice(self.deployment.proxies)
+            self.note(f"{kind} before {proxy.forward_to} for {length:.1f} s")
             if kind == "reset":
                 proxy.reset()
                 return time.time(), lambda: None
@@ -222,8 +239,15 @@
     def take_away(self, name, kind, until):
         process = self.deployment.processes[name]
         process.away = True
+        self.note(f"{kind} {name}")
         if kind.startswith("pause"):
             process.send(signal.SIGSTOP)
+            if name.startswith("entry"):
+                entry = self.deployment.entries[int(name.split("-")[1]) - 1]
+                with self.lock:
+                    self.pauses.setdefault(entry, []).append([time.time(), None])
+                return until, lambda: self.resume(process, entry)
+            return until, lambda: self.resume(process, None)
         else:
             process.kill()
             if kind.startswith("wipe"):
@@ -231,11 +255,22 @@
         # A host that was away counts again a while after it is back.
         return until, lambda: self.bring_back(process)
 
-    def bring_back(self, process):
+    def resume(self, process, entry):
+        """Lets it go on with what it held and believed when it was stopped."""
+        self.note(f"resume {process.name}")
         process.send(signal.SIGCONT)
-        if not process.alive() or process.name.startswith(("entry", "targets")):
-            process.kill()
-            process.restart()
+        if entry:
+            with self.lock:
+                self.pauses[entry][-1][1] = time.time()
+        self.settle(process)
+
+    def bring_back(self, process):
+        self.note(f"back {process.name}")
+        process.kill()
+        process.restart()
+        self.settle(process)
+
+    def settle(self, process):
         threading.Timer(4.0, lambda: setattr(process, "away", False)).start()
 
     def check_orders(self):
@@ -288,7 +323,7 @@
         soak = Soak(deployment, options.seed, options.seconds)
         soak.run()
         print(json.dumps(soak.counts, sort_keys=True))
-        check(not soak.failures, "\n".join(soak.failures[:10]))
+        check(not soak.failures, "\n".join(soak.timeline + soak.failures[:10]))
         print(f"seed {options.seed}: no promise broken")
     except Exception:
         print(f"seed {options.seed}: logs in {deployment.folder}")
