Cut the instructions of a part by a third

Change: counters are looked up once; names are hashed; parts that find room do not pass through the queue, whose lanes allocate nothing while empty; the latency window stays sorted; answers are moved from the client to the search; choices of replicas use one scratch list. A tick under load offers the keys that wait, not those of all targets.

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -2,6 +2,7 @@
 #define SNIPEWORKS_ATTEMPT_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -38,6 +39,9 @@
   kReplacement,  ///< After an attempt that is proved not to have run.
 };
 
+/// Values of AttemptKind.
+inline constexpr std::size_t kAttemptKinds = 4;
+
 /// "primary", "hedge", "retry" or "replacement".
 const char* ToString(AttemptKind kind);
 
@@ -86,6 +90,9 @@
   kCancelled,
 };
 
+/// Values of AttemptStatus.
+inline constexpr std::size_t kAttemptStatuses = 10;
+
 /// True if `status` proves that the target did not run the attempt.
 bool ProvesNotRun(AttemptStatus status);
 
--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -11,6 +11,7 @@
 #include "snipeworks/edge_names.h"
 #include "snipeworks/event_loop.h"
 #include "snipeworks/http_client.h"
+#include "snipeworks/string_map.h"
 
 namespace snipeworks {
 
@@ -35,14 +36,14 @@
   HttpClient client_;
   OnOutcome on_outcome_;
   std::unordered_map<AttemptId, HttpCallId> running_;
-  std::unordered_map<std::string, std::uint32_t> shares_;
+  StringMap<std::uint32_t> shares_;
 };
 
 /// What a forwarded request's call came to.
 ///
 /// Only an answer that says so proves that the request was not run; a success
 /// without the target's signature is none.
-AttemptOutcome ForwardOutcomeOf(const HttpCallResult& result,
+AttemptOutcome ForwardOutcomeOf(HttpCallResult result,
                                 const ForwardNames& names);
 
 /// Reads "running, waiting, slots" and, if it is there, the work in percent of
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -81,7 +81,7 @@
 /// members belong to the loop's thread.
 class HttpClient {
  public:
-  using Done = std::function<void(const HttpCallResult&)>;
+  using Done = std::function<void(HttpCallResult&&)>;
 
   explicit HttpClient(EventLoop& loop);
   ~HttpClient();
--- a/src/include/snipeworks/latency_window.h
+++ b/src/include/snipeworks/latency_window.h
@@ -19,11 +19,9 @@
   std::optional<Duration> Percentile(int percent) const;
 
  private:
-  std::vector<Duration> samples_;
-  std::size_t next_ = 0;
-  std::size_t added_ = 0;
-  mutable std::vector<Duration> sorted_;
-  mutable std::size_t sorted_at_ = 0;
+  std::vector<Duration> samples_;  ///< In the order in which they came.
+  std::vector<Duration> sorted_;   ///< The same, by length.
+  std::size_t next_ = 0;           ///< Of samples_, the oldest.
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/part_queue.h
+++ b/src/include/snipeworks/part_queue.h
@@ -4,10 +4,10 @@
 #include <array>
 #include <compare>
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "snipeworks/attempt.h"
 #include "snipeworks/search.h"
@@ -53,11 +53,33 @@
   std::size_t AheadInClass(const PartKey& key,
                            RequestClass request_class) const;
 
+  /// True if nothing waits under `key`.
+  bool IsEmpty(const PartKey& key) const {
+    return size_ == 0 || !queues_.contains(key);
+  }
+
+  /// The keys under which parts wait.
+  std::vector<PartKey> Keys() const;
+
   /// Parts waiting under all keys.
   std::size_t size() const { return size_; }
 
  private:
-  using Lanes = std::array<std::deque<WaitingPart>, kRequestClasses>;
+  // Parts of one class, the first come first.
+  class Lane {
+   public:
+    void Push(const WaitingPart& waiting) { parts_.push_back(waiting); }
+    void Pop();
+    const WaitingPart& front() const { return parts_[begin_]; }
+    bool empty() const { return begin_ == parts_.size(); }
+    std::size_t size() const { return parts_.size() - begin_; }
+
+   private:
+    std::vector<WaitingPart> parts_;
+    std::size_t begin_ = 0;  ///< Those before it are gone.
+  };
+
+  using Lanes = std::array<Lane, kRequestClasses>;
 
   std::map<PartKey, Lanes> queues_;
   std::size_t size_ = 0;
--- a/src/include/snipeworks/replica_selector.h
+++ b/src/include/snipeworks/replica_selector.h
@@ -2,13 +2,13 @@
 #define SNIPEWORKS_REPLICA_SELECTOR_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "snipeworks/policy.h"
 #include "snipeworks/random.h"
+#include "snipeworks/string_map.h"
 #include "snipeworks/target_stats.h"
 #include "snipeworks/target_view.h"
 
@@ -79,17 +79,20 @@
     TargetStats* stats;
   };
 
-  std::vector<Candidate> Candidates(const ReplicaQuery& query);
+  /// Fills candidates_ with the replicas that are usable and not tried.
+  void FindCandidates(const ReplicaQuery& query);
   double Score(const ReplicaQuery& query, const Candidate& one) const;
-  Candidate Best(const ReplicaQuery& query, std::vector<Candidate>& candidates);
+  /// The best of candidates_, which it may shorten and reorder.
+  Candidate Best(const ReplicaQuery& query);
 
   TargetView& view_;
   Random& random_;
   std::uint32_t UsableShare(const Announcement& target) const;
 
   SelectorConfig config_;
-  std::map<std::string, std::uint32_t, std::less<>> connection_limits_;
-  std::map<std::string, TargetStats, std::less<>> stats_;
+  StringMap<std::uint32_t> connection_limits_;
+  StringMap<TargetStats> stats_;
+  std::vector<Candidate> candidates_;  ///< Of the choice that is being made.
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -2,7 +2,6 @@
 #define SNIPEWORKS_TARGET_VIEW_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +9,7 @@
 
 #include "snipeworks/announcement.h"
 #include "snipeworks/clock.h"
+#include "snipeworks/string_map.h"
 
 namespace snipeworks {
 
@@ -50,10 +50,10 @@
   /// The newest announcement of `target`, usable or not, or null.
   const Announcement* Find(std::string_view target) const;
 
-  /// Every known announcement that has not been forgotten.
+  /// Every known announcement that has not been forgotten, by name.
   std::vector<const Announcement*> All() const;
 
-  /// Targets of `group` that may get new work at `now`.
+  /// Targets of `group` that may get new work at `now`, by name.
   std::vector<const Announcement*> UsableInGroup(Instant now,
                                                  std::string_view group) const;
 
@@ -84,10 +84,12 @@
 
   void Replace(Record& record, const Announcement& news, Instant heard_at);
 
+  const Record* RecordOf(std::string_view target) const;
+
   Duration lease_;
   /// The digests of all records combined, kept up with each change.
   std::uint64_t digest_ = 0;
-  std::map<std::string, Record, std::less<>> records_;
+  StringMap<Record> records_;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -1,11 +1,16 @@
 #include "snipeworks/entry_metrics.h"
 
+#include <array>
+#include <mutex>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "snipeworks/string_map.h"
+
 namespace snipeworks {
 
 namespace {
@@ -34,6 +39,28 @@
 
 class EntryMetrics::Impl {
  public:
+  Impl() {
+    for (std::size_t i = 0; i < kAttemptStatuses; ++i) {
+      const auto status = static_cast<AttemptStatus>(i);
+      outcome_of[i] = &outcomes.Add({{"status", ToString(status)}});
+    }
+  }
+
+  // Looking a counter up by its labels costs more than an attempt's other
+  // bookkeeping, so each is looked up once.
+  Counter& AttemptsOf(const std::string& group, AttemptKind kind) {
+    const std::lock_guard lock(mutex);
+    auto& counters = attempts_of[group];
+    Counter*& counter = counters[static_cast<std::size_t>(kind)];
+    if (counter == nullptr) {
+      counter = &attempts.Add({{"group", group}, {"kind", ToString(kind)}});
+    }
+    return *counter;
+  }
+
+  std::mutex mutex;
+  StringMap<std::array<Counter*, kAttemptKinds>> attempts_of;
+  std::array<Counter*, kAttemptStatuses> outcome_of{};
   prometheus::Registry registry;
   Family<Counter>& requests = BuildCounter()
                                   .Name("snipeworks_requests_total")
@@ -109,11 +136,11 @@
 EntryMetrics::~EntryMetrics() = default;
 
 void EntryMetrics::OnAttempt(const std::string& group, AttemptKind kind) {
-  impl_->attempts.Add({{"group", group}, {"kind", ToString(kind)}}).Increment();
+  impl_->AttemptsOf(group, kind).Increment();
 }
 
 void EntryMetrics::OnOutcome(AttemptStatus status) {
-  impl_->outcomes.Add({{"status", ToString(status)}}).Increment();
+  impl_->outcome_of.at(static_cast<std::size_t>(status))->Increment();
 }
 
 void EntryMetrics::OnSearch(const SearchRequest& request,
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -68,9 +68,9 @@
   call.echo = {names_.request_id, request.request_id};
   running_[command.id] = client_.Send(
       std::move(call), [this, id = command.id, snapshot = command.snapshot,
-                        part = command.part](const HttpCallResult& result) {
+                        part = command.part](HttpCallResult&& result) {
         running_.erase(id);
-        AttemptOutcome outcome = ForwardOutcomeOf(result, names_);
+        AttemptOutcome outcome = ForwardOutcomeOf(std::move(result), names_);
         outcome.snapshot = snapshot;
         outcome.part = part;
         on_outcome_(id, outcome);
@@ -84,7 +84,7 @@
   }
 }
 
-AttemptOutcome ForwardOutcomeOf(const HttpCallResult& result,
+AttemptOutcome ForwardOutcomeOf(HttpCallResult result,
                                 const ForwardNames& names) {
   AttemptOutcome outcome;
   switch (result.status) {
@@ -122,10 +122,10 @@
     outcome.status = AttemptStatus::kFailed;
     return outcome;
   }
-  answer->headers = result.headers;
-  DropConnectionHeaders(answer->headers);
-  answer->body = result.body;
   answer->declared_length = LengthOf(result);
+  answer->headers = std::move(result.headers);
+  DropConnectionHeaders(answer->headers);
+  answer->body = std::move(result.body);
   outcome.documents = 1;
   outcome.answer = std::move(answer);
   return outcome;
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -10,13 +10,13 @@
 #include <array>
 #include <cstdlib>
 #include <deque>
-#include <map>
 #include <unordered_map>
 #include <utility>
 
 #include <glog/logging.h>
 
 #include "snipeworks/address.h"
+#include "snipeworks/string_map.h"
 #include "snipeworks/timer_queue.h"
 
 namespace snipeworks {
@@ -187,12 +187,10 @@
   HttpCallId Send(HttpCall call, Done done) {
     const HttpCallId id = next_++;
     ++traffic_.calls;
-    auto transfer = std::make_unique<Transfer>();
-    transfer->id = id;
-    transfer->call = std::move(call);
-    transfer->done = std::move(done);
-    Transfer& added = *transfer;
-    transfers_[id] = std::move(transfer);
+    Transfer& added = transfers_[id];
+    added.id = id;
+    added.call = std::move(call);
+    added.done = std::move(done);
     added.ends = MonotonicNow() + added.call.timeout;
     timers_.Add(added.ends, id);
     SetTimer();
@@ -203,7 +201,7 @@
   void Abort(HttpCallId id) {
     auto found = transfers_.find(id);
     if (found != transfers_.end()) {
-      EndLater(*found->second, HttpCallStatus::kAborted);
+      EndLater(found->second, HttpCallStatus::kAborted);
     }
   }
 
@@ -215,11 +213,11 @@
 
   void Distrust(HttpCallId id) {
     auto found = transfers_.find(id);
-    if (found == transfers_.end() || found->second->connection == nullptr) {
+    if (found == transfers_.end() || found->second.connection == nullptr) {
       return;
     }
-    Route& route = *found->second->connection->route;
-    if (found->second->connection->generation != route.generation) {
+    Route& route = *found->second.connection->route;
+    if (found->second.connection->generation != route.generation) {
       return;
     }
     route.silent.push_back({MonotonicNow() + kSilentHeld, route.open});
@@ -343,7 +341,7 @@
       route.waiting.pop_front();
       auto found = transfers_.find(id);
       if (found != transfers_.end()) {
-        Place(route, *found->second);
+        Place(route, found->second);
       }
     }
   }
@@ -571,7 +569,7 @@
   void Report(HttpCallId id) {
     auto node = transfers_.extract(id);
     if (!node.empty()) {
-      node.mapped()->done(node.mapped()->result);
+      node.mapped().done(std::move(node.mapped().result));
     }
   }
 
@@ -583,8 +581,8 @@
       Close(*connection);
     }
     auto node = transfers_.extract(transfer.id);
-    std::shared_ptr<Transfer> ended = std::move(node.mapped());
-    loop_.Post([ended] { ended->done(ended->result); });
+    auto ended = std::make_shared<Transfer>(std::move(node.mapped()));
+    loop_.Post([ended] { ended->done(std::move(ended->result)); });
   }
 
   void SetTimer() {
@@ -601,7 +599,7 @@
       if (found == transfers_.end()) {
         continue;
       }
-      Transfer& transfer = *found->second;
+      Transfer& transfer = found->second;
       Connection* connection = transfer.connection;
       const bool sent = connection != nullptr && connection->sent;
       if (now >= transfer.ends) {
@@ -634,9 +632,9 @@
 
   EventLoop& loop_;
   http_parser_settings callbacks_{};
-  std::map<std::string, Route> routes_;
+  StringMap<Route> routes_;
   std::vector<Connection*> connections_;
-  std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> transfers_;
+  std::unordered_map<HttpCallId, Transfer> transfers_;
   TimerQueue<HttpCallId> timers_;
   HttpCallId next_ = 1;
   HttpClientTraffic traffic_;
--- a/src/libsnipeworks/part_queue.cpp
+++ b/src/libsnipeworks/part_queue.cpp
@@ -1,13 +1,23 @@
 #include "snipeworks/part_queue.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace snipeworks {
 
+void PartQueue::Lane::Pop() {
+  ++begin_;
+  if (begin_ * 2 > parts_.size()) {
+    parts_.erase(parts_.begin(),
+                 parts_.begin() + static_cast<std::ptrdiff_t>(begin_));
+    begin_ = 0;
+  }
+}
+
 void PartQueue::Add(const PartKey& key,
                     RequestClass request_class,
                     WaitingPart waiting) {
-  queues_[key][static_cast<std::size_t>(request_class)].push_back(waiting);
+  queues_[key][static_cast<std::size_t>(request_class)].Push(waiting);
   ++size_;
 }
 
@@ -23,7 +33,7 @@
       if (offer(next) == Offer::kBusy) {
         return;
       }
-      lane.pop_front();
+      lane.Pop();
       --size_;
     }
   }
@@ -34,6 +44,15 @@
   }
 }
 
+std::vector<PartKey> PartQueue::Keys() const {
+  std::vector<PartKey> keys;
+  keys.reserve(queues_.size());
+  for (const auto& [key, lanes] : queues_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 std::size_t PartQueue::Ahead(const PartKey& key,
                              RequestClass request_class) const {
   auto found = queues_.find(key);
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -108,9 +108,8 @@
   return result;
 }
 
-std::vector<ReplicaSelector::Candidate> ReplicaSelector::Candidates(
-    const ReplicaQuery& query) {
-  std::vector<Candidate> result;
+void ReplicaSelector::FindCandidates(const ReplicaQuery& query) {
+  candidates_.clear();
   for (const std::string& name : query.replicas) {
     if (std::ranges::find(query.tried, name) != query.tried.end()) {
       continue;
@@ -118,10 +117,9 @@
     const Announcement* target = view_.Usable(query.now, name);
     TargetStats* stats = Stats(name);
     if (target != nullptr && stats != nullptr) {
-      result.push_back({target, stats});
+      candidates_.push_back({target, stats});
     }
   }
-  return result;
 }
 
 std::size_t ReplicaSelector::CountUsable(const ReplicaQuery& query) const {
@@ -134,7 +132,8 @@
 
 std::optional<double> ReplicaSelector::BestScore(const ReplicaQuery& query) {
   std::optional<double> best;
-  for (const Candidate& one : Candidates(query)) {
+  FindCandidates(query);
+  for (const Candidate& one : candidates_) {
     if (one.stats->IsEjected(query.now) || !one.stats->HasRoom(query.now)) {
       continue;
     }
@@ -144,44 +143,43 @@
   return best;
 }
 
-ReplicaSelector::Candidate ReplicaSelector::Best(
-    const ReplicaQuery& query,
-    std::vector<Candidate>& candidates) {
+ReplicaSelector::Candidate ReplicaSelector::Best(const ReplicaQuery& query) {
   if (query.policy.selection_rule() == Selection::kRandom) {
-    return candidates[random_.Below(candidates.size())];
+    return candidates_[random_.Below(candidates_.size())];
   }
-  if (candidates.size() > kScoreAllUpTo) {
+  if (candidates_.size() > kScoreAllUpTo) {
     for (std::size_t i = 0; i < 2; ++i) {
-      std::swap(candidates[i],
-                candidates[i + random_.Below(candidates.size() - i)]);
+      std::swap(candidates_[i],
+                candidates_[i + random_.Below(candidates_.size() - i)]);
     }
-    candidates.resize(2);
+    candidates_.resize(2);
   }
   // Ties between equal scores are broken at random, so that hosts which know
   // nothing yet do not all start on the same replica.
-  const std::size_t first = random_.Below(candidates.size());
-  std::swap(candidates[0], candidates[first]);
+  const std::size_t first = random_.Below(candidates_.size());
+  std::swap(candidates_[0], candidates_[first]);
   return *std::ranges::min_element(
-      candidates, {}, [&](const Candidate& one) { return Score(query, one); });
+      candidates_, {}, [&](const Candidate& one) { return Score(query, one); });
 }
 
 ReplicaChoice ReplicaSelector::Choose(const ReplicaQuery& query) {
-  std::vector<Candidate> usable = Candidates(query);
-  if (usable.empty()) {
+  FindCandidates(query);
+  if (candidates_.empty()) {
     return {ReplicaChoice::State::kNone, nullptr};
   }
-  std::vector<Candidate> healthy = usable;
-  std::erase_if(healthy, [&](const Candidate& one) {
+  const auto is_ejected = [&](const Candidate& one) {
     return one.stats->IsEjected(query.now);
-  });
-  std::vector<Candidate>& pool = healthy.empty() ? usable : healthy;
-  std::erase_if(pool, [&](const Candidate& one) {
+  };
+  if (!std::ranges::all_of(candidates_, is_ejected)) {
+    std::erase_if(candidates_, is_ejected);
+  }
+  std::erase_if(candidates_, [&](const Candidate& one) {
     return !one.stats->HasRoom(query.now);
   });
-  if (pool.empty()) {
+  if (candidates_.empty()) {
     return {ReplicaChoice::State::kBusy, nullptr};
   }
-  return {ReplicaChoice::State::kChosen, Best(query, pool).target};
+  return {ReplicaChoice::State::kChosen, Best(query).target};
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -210,10 +210,8 @@
     pruned_at_ = now;
   }
   // Pauses of targets end without an event.
-  if (queue_.size() > 0) {
-    for (const Announcement* target : view_.All()) {
-      MarkReady(*target);
-    }
+  for (PartKey& key : queue_.Keys()) {
+    ready_.insert(std::move(key));
   }
   Pump(now);
 }
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -21,6 +21,7 @@
 #include "snipeworks/request_filters.h"
 #include "snipeworks/search_controller.h"
 #include "snipeworks/search_run.h"
+#include "snipeworks/string_map.h"
 #include "snipeworks/target_view.h"
 #include "snipeworks/timer_queue.h"
 
@@ -146,6 +147,9 @@
   void StartCanary(Instant now, SearchRun& search);
   void StartFanOut(Instant now, SearchRun& search);
   void Enqueue(SearchRun& search, std::size_t part_index, AttemptKind kind);
+  void DispatchOrEnqueue(Instant now,
+                         SearchRun& search,
+                         std::size_t part_index);
   void Pump(Instant now);
   PartQueue::Offer Dispatch(Instant now, const WaitingPart& waiting);
   bool CannotFinish(Instant now,
@@ -199,8 +203,8 @@
   PartQueue queue_;
   FilterChain<SyntaxFilter, SnapshotFilter, QuarantineFilter, AdmissionFilter>
       filters_;
-  std::map<std::string, GroupState> groups_;
-  std::map<std::string, ExtraBudget> extra_budgets_;
+  StringMap<GroupState> groups_;
+  StringMap<ExtraBudget> extra_budgets_;
   std::unordered_map<RequestId, SearchRun> searches_;
   std::unordered_map<AttemptId, AttemptRun> attempts_;
   std::map<Fingerprint, CanaryLine> canaries_;
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -108,12 +108,36 @@
 
 void SearchEngine::StartFanOut(Instant now, SearchRun& search) {
   search.phase = SearchPhase::kFanOut;
-  for (std::size_t i = 0; i < search.parts().size(); ++i) {
-    if (search.parts()[i].status == PartStatus::kHeld) {
-      Enqueue(search, i, AttemptKind::kPrimary);
+  const RequestId id = search.request().id;
+  actions_.reserve(actions_.size() + search.parts().size());
+  // A part can end its search, or start it over on another snapshot.
+  SearchRun* left = &search;
+  for (std::size_t i = 0; left != nullptr && i < left->parts().size(); ++i) {
+    if (left->parts()[i].status == PartStatus::kHeld) {
+      DispatchOrEnqueue(now, *left, i);
+      left = FindSearch(id);
+    }
+  }
+  if (left != nullptr) {
+    AfterChange(now, *left);
+  }
+}
+
+// Parts that find room, which is most of them, do not pass through the queue.
+void SearchEngine::DispatchOrEnqueue(Instant now,
+                                     SearchRun& search,
+                                     std::size_t part_index) {
+  const bool first =
+      queue_.size() == 0 || queue_.IsEmpty(search.KeyOf(part_index));
+  if (first) {
+    search.parts()[part_index].status = PartStatus::kWaiting;
+    const WaitingPart waiting{search.request().id, part_index,
+                              AttemptKind::kPrimary};
+    if (Dispatch(now, waiting) == PartQueue::Offer::kTaken) {
+      return;
     }
   }
-  AfterChange(now, search);
+  Enqueue(search, part_index, AttemptKind::kPrimary);
 }
 
 void SearchEngine::Enqueue(SearchRun& search,
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -1,6 +1,7 @@
 #include "search_engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeworks {
 
@@ -18,7 +19,7 @@
   if (found == attempts_.end()) {
     return;
   }
-  const AttemptRun run = found->second;
+  const AttemptRun run = std::move(found->second);
   attempts_.erase(found);
   const Duration latency = now - run.started;
   GroupState& group = EnsureGroup(run.group);
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -1,5 +1,6 @@
 #include "snipeworks/target_view.h"
 
+#include <algorithm>
 #include <tuple>
 
 #include <xxhash.h>
@@ -65,10 +66,8 @@
 }
 
 std::uint32_t TargetView::DigestOf(std::string_view target) const {
-  auto found = records_.find(target);
-  return found == records_.end()
-             ? 0
-             : static_cast<std::uint32_t>(found->second.digest);
+  const Record* record = RecordOf(target);
+  return record == nullptr ? 0 : static_cast<std::uint32_t>(record->digest);
 }
 
 // A renewal says nothing of the state. Taken by a host that has missed that a
@@ -85,6 +84,11 @@
   return renewed;
 }
 
+const TargetView::Record* TargetView::RecordOf(std::string_view target) const {
+  auto found = records_.find(target);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
 bool TargetView::IsUsable(Instant now, const Record& record) const {
   const bool serving = record.announcement.state == TargetState::kServing;
   return serving && now - record.heard_at <= lease_;
@@ -92,16 +96,14 @@
 
 const Announcement* TargetView::Usable(Instant now,
                                        std::string_view target) const {
-  auto found = records_.find(target);
-  if (found == records_.end() || !IsUsable(now, found->second)) {
-    return nullptr;
-  }
-  return &found->second.announcement;
+  const Record* record = RecordOf(target);
+  return record != nullptr && IsUsable(now, *record) ? &record->announcement
+                                                     : nullptr;
 }
 
 const Announcement* TargetView::Find(std::string_view target) const {
-  auto found = records_.find(target);
-  return found == records_.end() ? nullptr : &found->second.announcement;
+  const Record* record = RecordOf(target);
+  return record == nullptr ? nullptr : &record->announcement;
 }
 
 std::vector<const Announcement*> TargetView::All() const {
@@ -109,6 +111,7 @@
   for (const auto& [name, record] : records_) {
     result.push_back(&record.announcement);
   }
+  std::ranges::sort(result, {}, &Announcement::target);
   return result;
 }
 
@@ -121,6 +124,7 @@
       result.push_back(&record.announcement);
     }
   }
+  std::ranges::sort(result, {}, &Announcement::target);
   return result;
 }
 
@@ -135,11 +139,9 @@
 
 std::optional<Duration> TargetView::Age(Instant now,
                                         std::string_view target) const {
-  auto found = records_.find(target);
-  if (found == records_.end()) {
-    return std::nullopt;
-  }
-  return now - found->second.heard_at;
+  const Record* record = RecordOf(target);
+  return record == nullptr ? std::nullopt
+                           : std::optional(now - record->heard_at);
 }
 
 void TargetView::Prune(Instant now) {
