Let urgent requests count on all that drains; replay six more load patterns

Cause: in the replay of routine requests behind urgent ones (0.7 of the capacity each) 382 of 2,466 urgent ones were refused, since a class was taken to drain no faster than it had lately itself, though urgent parts go before all others. Change: a class drains as fast as all parts did, less what more urgent classes took. New replays: callers that repeat at once, routine behind urgent, uneven hosts, a return after a total loss, targets that shed or fail, a loss near capacity; each against the same load without its mechanism.

--- a/src/libsnipeworks/forward_load_test.cpp
+++ b/src/libsnipeworks/forward_load_test.cpp
@@ -173,5 +173,207 @@
   EXPECT_LT(static_cast<double>(without.in_time) / 6.0 / kCapacity, 0.5);
 }
 
+// 3 targets x 3 slots / 20 ms, for requests a second to all shards.
+constexpr double kModelCapacity = 450.0;
+constexpr Duration kModelObjective = milliseconds(135);
+
+ModelTarget Steady() {
+  ModelTarget like = Pausing();
+  like.pause_every = Duration{};
+  return like;
+}
+
+// Load pattern: a third of the callers sends a refused request again within
+// milliseconds, up to four times, while all together ask for more than the
+// targets can do.
+TEST(ForwardLoad, CallersThatRepeatAtOnceDoNotCrowdOutTheOthers) {
+  const auto replay = [](bool admission) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Steady());
+    const auto plan = fleet.NewPlan(10, kModelObjective);
+    plan->policy.admission = admission ? 1 : 0;
+    ModelTraffic patient;
+    patient.plan = plan;
+    patient.per_second = 0.9 * kModelCapacity;
+    patient.tries = 2;
+    ModelTraffic pushing = patient;
+    pushing.per_second = 0.45 * kModelCapacity;
+    pushing.tries = 5;
+    pushing.patient = false;
+    return fleet.Replay({patient, pushing}, seconds(8));
+  };
+  const auto reports = replay(true);
+  Print("patient", reports[0]);
+  Print("pushing", reports[1]);
+  const auto before = replay(false);
+  Print("patient, all let in", before[0]);
+  // Those that came again are late by their first attempt.
+  const auto served = static_cast<double>(reports[0].in_time + reports[0].late +
+                                          reports[1].in_time + reports[1].late);
+  EXPECT_GE(served / 8.0 / kModelCapacity, 0.85);
+  EXPECT_GE(reports[0].credit, 0.5);
+  EXPECT_GE(reports[0].credit, before[0].credit + 0.3);
+  EXPECT_LE(reports[0].RefusalPercentile(99), kModelObjective / 4);
+  EXPECT_LE(reports[0].worst_budget_use, 1.0);
+}
+
+// Load pattern: routine requests come on top of urgent ones, more than the
+// targets can do together.
+TEST(ForwardLoad, RoutineRequestsGiveWayToUrgentOnes) {
+  const auto replay = [](RequestClass second) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Steady());
+    ModelTraffic urgent;
+    urgent.plan = fleet.NewPlan(10, kModelObjective);
+    urgent.per_second = 0.7 * kModelCapacity;
+    urgent.request_class = RequestClass::kUrgent;
+    ModelTraffic routine = urgent;
+    routine.request_class = second;
+    return fleet.Replay({urgent, routine}, seconds(8));
+  };
+  const auto reports = replay(RequestClass::kRoutine);
+  Print("urgent", reports[0]);
+  Print("routine", reports[1]);
+  const auto before = replay(RequestClass::kUrgent);
+  Print("urgent, no ranks", before[0]);
+  EXPECT_GE(reports[0].credit, 0.85);
+  EXPECT_GE(reports[0].credit, before[0].credit + 0.2);
+  EXPECT_GE(reports[0].InTimeShare(), reports[1].InTimeShare());
+  const auto served =
+      static_cast<double>(reports[0].in_time + reports[1].in_time);
+  EXPECT_GE(served / 8.0 / kModelCapacity, 0.8);
+  EXPECT_LE(reports[1].RefusalPercentile(90), kModelObjective / 4);
+  EXPECT_LE(reports[0].worst_budget_use, 1.0);
+}
+
+// Load pattern: one of nine entry hosts gets half of all requests.
+TEST(ForwardLoad, UnevenEntryHostsKeepToTheCommonBudget) {
+  const auto replay = [](double share, std::int64_t hedges_after) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Pausing());
+    ModelTraffic traffic;
+    traffic.plan = fleet.NewPlan(10, kModelObjective);
+    auto plan = std::make_shared<SearchPlan>(*traffic.plan);
+    plan->policy.hedge_percentile = hedges_after;
+    traffic.plan = plan;
+    traffic.per_second = 0.4 * kModelCapacity;
+    traffic.first_host_share = share;
+    return fleet.Replay({traffic}, seconds(12)).front();
+  };
+  const ReplayReport uneven = replay(0.5, 95);
+  Print("uneven", uneven);
+  const ReplayReport even = replay(0.0, 95);
+  Print("even", even);
+  const ReplayReport before = replay(0.5, 0);
+  Print("uneven, no hedges", before);
+  EXPECT_GE(uneven.credit, even.credit - 0.03);
+  EXPECT_GE(uneven.credit, before.credit + 0.02);
+  EXPECT_LE(uneven.worst_budget_use, 1.0);
+}
+
+// Load pattern: all targets are dark for three seconds, then all are back,
+// while callers come again as they were told.
+TEST(ForwardLoad, AllIsServedAgainSoonAfterATotalLoss) {
+  const auto replay = [](bool admission) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Steady());
+    const auto turn = [](bool dark) {
+      return [dark](ModelFleet& all) {
+        all.ForEachTarget([dark](ModelTarget& one) { one.dark = dark; });
+      };
+    };
+    fleet.Later(seconds(3), turn(true));
+    fleet.Later(seconds(6), turn(false));
+    ModelTraffic traffic;
+    traffic.plan = fleet.NewPlan(10, kModelObjective);
+    auto plan = std::make_shared<SearchPlan>(*traffic.plan);
+    plan->policy.admission = admission ? 1 : 0;
+    traffic.plan = plan;
+    traffic.per_second = 0.6 * kModelCapacity;
+    traffic.tries = 3;
+    return fleet.Replay({traffic}, seconds(12)).front();
+  };
+  const ReplayReport report = replay(true);
+  Print("total loss", report);
+  const ReplayReport before = replay(false);
+  Print("total loss, all let in", before);
+  std::cout << "in time after the return: " << report.InTimeShare(6, 7) << ", "
+            << report.InTimeShare(7, 8) << ", " << report.InTimeShare(8, 12)
+            << "; all let in " << before.InTimeShare(6, 7) << ", "
+            << before.InTimeShare(7, 8) << ", " << before.InTimeShare(8, 12)
+            << "\n";
+  EXPECT_GE(report.InTimeShare(0, 3), 0.95);
+  EXPECT_GE(report.InTimeShare(7, 8), 0.9);
+  EXPECT_GE(report.InTimeShare(8, 12), 0.95);
+  EXPECT_LE(report.worst_budget_use, 1.0);
+}
+
+// Load pattern: of the three replicas of each shard one refuses everything,
+// and of every other shard one more fails half of its requests at once, which
+// looks fast.
+TEST(ForwardLoad, TargetsThatShedOrFailGetLittleWork) {
+  const auto replay = [](Selection rule) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Pausing());
+    fleet.ShareConditions(milliseconds(500));
+    for (int group = 0; group < 10; ++group) {
+      const std::string name = "g" + std::to_string(group);
+      fleet.target(name + "-0").queue_limit = 0;
+      if (group % 2 == 0) {
+        fleet.target(name + "-1").failing_percent = 50;
+      }
+    }
+    ModelTraffic traffic;
+    const auto plan = fleet.NewPlan(10, kModelObjective);
+    plan->policy.selection = static_cast<std::int64_t>(rule);
+    traffic.plan = plan;
+    traffic.per_second = 0.15 * kModelCapacity;
+    return fleet.Replay({traffic}, seconds(12)).front();
+  };
+  const ReplayReport report = replay(Selection::kLoad);
+  Print("shed and fail", report);
+  const ReplayReport before = replay(Selection::kRandom);
+  Print("at random", before);
+  EXPECT_GE(report.credit, 0.85);
+  EXPECT_GE(report.credit, before.credit + 0.3);
+  EXPECT_LT(report.extra, before.extra);
+  EXPECT_LE(report.worst_budget_use, 1.0);
+}
+
+// Load pattern: a third of the targets hangs while the others are left with
+// nine tenths of what they can do.
+TEST(ForwardLoad, ALossNearCapacityIsBorneByTheReplicasThatAreLeft) {
+  const auto replay = [](bool shared, std::int64_t hedges_after) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Steady());
+    if (shared) {
+      fleet.ShareConditions(milliseconds(500));
+    }
+    fleet.Later(seconds(3), [](ModelFleet& all) {
+      for (int group = 0; group < 10; ++group) {
+        all.target("g" + std::to_string(group) + "-" +
+                   std::to_string(group % 3))
+            .dark = true;
+      }
+    });
+    const auto plan = fleet.NewPlan(10, kModelObjective);
+    plan->policy.hedge_percentile = hedges_after;
+    ModelTraffic traffic;
+    traffic.plan = plan;
+    traffic.per_second = 0.6 * kModelCapacity;
+    traffic.tries = 2;
+    return fleet.Replay({traffic}, seconds(10)).front();
+  };
+  const ReplayReport report = replay(true, 95);
+  Print("loss", report);
+  const ReplayReport before = replay(false, 0);
+  Print("loss, each alone, no hedges", before);
+  std::cout << "in time from 1 s after it: " << report.InTimeShare(4, 10)
+            << "; before " << before.InTimeShare(4, 10) << "\n";
+  EXPECT_GE(report.InTimeShare(4, 10), 0.8);
+  EXPECT_GE(report.InTimeShare(4, 10), before.InTimeShare(4, 10) + 0.02);
+  EXPECT_LE(report.worst_budget_use, 1.0);
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -127,9 +127,9 @@
 
 // A queue that has stood for a while drains as fast as parts were dispatched
 // lately: other hosts use the same targets, so that tells more than what the
-// replicas could take from this one. The own class drains slower than the
-// whole, since more urgent requests that are still to come go first; a class
-// that got nothing lately is taken to get a small share.
+// replicas could take from this one. What more urgent requests took lately,
+// those that are still to come will take too; a class that is left nothing is
+// taken to get a small share.
 Duration GroupState::ExpectedWait(Instant now,
                                   RequestClass request_class,
                                   const Backlog& backlog) {
@@ -144,10 +144,11 @@
         rounds * static_cast<double>(Reference().count())));
   }
   const double all = std::max(kMinDispatchRate, dispatched_.PerSecond(now));
-  const double own = std::max(
-      all * kMinClassShare,
-      dispatched_by_class_[static_cast<std::size_t>(request_class)].PerSecond(
-          now));
+  double urgent = 0.0;
+  for (std::size_t i = 0; i < static_cast<std::size_t>(request_class); ++i) {
+    urgent += dispatched_by_class_[i].PerSecond(now);
+  }
+  const double own = std::max(all * kMinClassShare, all - urgent);
   const double seconds =
       static_cast<double>(backlog.parts) *
       std::max(ahead / all, static_cast<double>(backlog.own_class) / own);
--- a/src/libsnipeworks/model_fleet_test.h
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -68,9 +68,12 @@
   std::size_t slow_refusals = 0;  ///< Refused after a quarter of the objective.
   std::size_t found_room = 0;     ///< Answered in time once they came again.
   std::vector<Duration> refusals;  ///< How long each refusal took.
-  double coverage = 0.0;           ///< Mean share of parts in answers.
-  std::size_t arrivals = 0;        ///< Attempts that reached targets.
-  std::size_t extra = 0;           ///< Of those, beyond the first of a part.
+  /// By the second in which the caller first asked.
+  std::vector<std::size_t> asked_in;
+  std::vector<std::size_t> in_time_in;
+  double coverage = 0.0;     ///< Mean share of parts in answers.
+  std::size_t arrivals = 0;  ///< Attempts that reached targets.
+  std::size_t extra = 0;     ///< Of those, beyond the first of a part.
   /// Most extra arrivals of one group in 10 s, over what the fleet may send.
   double worst_budget_use = 0.0;
 
@@ -80,6 +83,18 @@
                : static_cast<double>(in_time) / static_cast<double>(asked);
   }
 
+  /// Of what was first asked from one second on, up to another.
+  double InTimeShare(std::size_t from, std::size_t until) const {
+    std::size_t all = 0;
+    std::size_t good = 0;
+    for (std::size_t i = from; i < std::min(until, asked_in.size()); ++i) {
+      all += asked_in[i];
+      good += i < in_time_in.size() ? in_time_in[i] : 0;
+    }
+    return all == 0 ? 0.0
+                    : static_cast<double>(good) / static_cast<double>(all);
+  }
+
   /// What the answers are worth to their callers, from 0 to 1: each counts the
   /// square of its share of parts, a tenth of it if it is late, and half of
   /// that more if it came in time after a prompt refusal.
@@ -218,6 +233,7 @@
     }
     arrivals_ = 0;
     extra_ = 0;
+    begun_ = now_;
     const Instant end = now_ + length;
     Duration longest{};
     for (std::size_t i = 0; i < kinds_.size(); ++i) {
@@ -274,6 +290,7 @@
     }
     At(when, [this, kind, end] {
       ++kinds_[kind].report.asked;
+      Count(kinds_[kind].report.asked_in, now_);
       Asked asked;
       asked.kind = kind;
       asked.tries_left = kinds_[kind].traffic.tries - 1;
@@ -499,6 +516,13 @@
     At(now_ + wait, [this, asked] { Ask(asked); });
   }
 
+  void Count(std::vector<std::size_t>& by_second, Instant when) const {
+    const auto second =
+        static_cast<std::size_t>((when - begun_) / std::chrono::seconds(1));
+    by_second.resize(std::max(by_second.size(), second + 1));
+    ++by_second[second];
+  }
+
   static Duration ObjectiveOf(const ModelTraffic& traffic) {
     return std::chrono::milliseconds(traffic.plan->policy.soft_deadline_ms);
   }
@@ -518,6 +542,9 @@
     const bool in_time = now_ - asked.first_at <= objective;
     const bool again_in_time = came_again && now_ - asked.at <= objective;
     (in_time ? kind.report.in_time : kind.report.late) += 1;
+    if (in_time) {
+      Count(kind.report.in_time_in, asked.first_at);
+    }
     kind.report.found_room += again_in_time ? 1 : 0;
     constexpr double kLate = 0.1;
     double worth = in_time ? 1.0 : kLate;
@@ -560,6 +587,7 @@
   std::map<std::string, std::vector<std::pair<Instant, bool>>> primary_;
   RequestId next_request_ = 1;
   std::vector<Kind> kinds_;
+  Instant begun_{};
   std::size_t arrivals_ = 0;
   std::size_t extra_ = 0;
 };
