--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -25,7 +25,9 @@
 // Pauses of targets are of about this length.
 constexpr Duration kStallMemory = milliseconds(250);
 constexpr double kStallPenalty = 4.0;
-constexpr double kFailurePenalty = 4.0;
+// An attempt that fails costs another one, which all hosts together have few
+// of.
+constexpr double kFailurePenalty = 12.0;
 constexpr double kColdPenalty = 1.5;
 // A connection has to be opened first, which takes time here and a slot there.
 constexpr double kConnectPenalty = 1.4;
