Draw the time to come back from a window, by class and age

Change: the time is drawn from a window that begins when the queue is worked off and ends at a share of the caller's time left, a setting; urgent callers get its first half, routine ones its second, and those that have waited longer tend to come first.

--- a/src/include/snipeworks/policy.h
+++ b/src/include/snipeworks/policy.h
@@ -38,7 +38,8 @@
   std::int64_t objective_ms = 0;            ///< When an answer is wanted.
   std::int64_t canary = 0;                  ///< A Canary.
   std::int64_t quarantine_s = 60;
-  std::int64_t admission = 1;  ///< 0 admits everything.
+  std::int64_t admission = 1;               ///< 0 admits everything.
+  std::int64_t return_latest_percent = 70;  ///< Of a refused caller's time.
   std::int64_t slow_start_ms = 3000;
   std::int64_t eject_ms = 2000;  ///< First ejection; doubles with each.
   std::int64_t lease_ms = 3000;  ///< Silence after which a target gets no work.
--- a/src/include/snipeworks/request_filters.h
+++ b/src/include/snipeworks/request_filters.h
@@ -12,6 +12,7 @@
 #include "snipeworks/group_state.h"
 #include "snipeworks/part_queue.h"
 #include "snipeworks/poison_tracker.h"
+#include "snipeworks/random.h"
 #include "snipeworks/replica_selector.h"
 #include "snipeworks/search.h"
 
@@ -87,8 +88,10 @@
 /// Refuses at once what cannot finish in its deadline.
 class AdmissionFilter {
  public:
-  AdmissionFilter(const PartQueue& queue, ReplicaSelector& selector)
-      : queue_(queue), selector_(selector) {}
+  AdmissionFilter(const PartQueue& queue,
+                  ReplicaSelector& selector,
+                  Random& random)
+      : queue_(queue), selector_(selector), random_(random) {}
   Result<void> Apply(SearchContext& context);
 
  private:
@@ -98,6 +101,7 @@
 
   const PartQueue& queue_;
   ReplicaSelector& selector_;
+  Random& random_;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/forward_load_test.cpp
+++ b/src/libsnipeworks/forward_load_test.cpp
@@ -217,6 +217,37 @@
   EXPECT_LE(reports[0].worst_budget_use, 1.0);
 }
 
+// Load pattern: for half a second four times the capacity is asked for, all of
+// it by callers that come back as they are told.
+TEST(ForwardLoad, ABurstThatIsTurnedAwayFindsRoomWhenItIsBack) {
+  const auto replay = [](std::optional<Duration> told_always) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, Steady());
+    ModelTraffic usual;
+    usual.plan = fleet.NewPlan(10, kModelObjective);
+    usual.per_second = 0.5 * kModelCapacity;
+    usual.deadline = seconds(3);
+    usual.tries = 2;
+    usual.told_always = told_always;
+    ModelTraffic burst = usual;
+    burst.per_second = 3.5 * kModelCapacity;
+    burst.from = seconds(2);
+    burst.until = milliseconds(2500);
+    return fleet.Replay({usual, burst}, seconds(6));
+  };
+  const auto reports = replay(std::nullopt);
+  Print("usual", reports[0]);
+  Print("burst", reports[1]);
+  const auto before = replay(seconds(1));
+  Print("usual, all told the same", before[0]);
+  Print("burst, all told the same", before[1]);
+  EXPECT_GE(reports[1].credit, before[1].credit + 0.1);
+  EXPECT_GE(reports[0].credit, before[0].credit);
+  EXPECT_GT(reports[1].found_room, before[1].found_room);
+  EXPECT_LE(reports[1].RefusalPercentile(99), kModelObjective / 4);
+  EXPECT_LE(reports[0].worst_budget_use, 1.0);
+}
+
 // Load pattern: routine requests come on top of urgent ones, more than the
 // targets can do together.
 TEST(ForwardLoad, RoutineRequestsGiveWayToUrgentOnes) {
--- a/src/libsnipeworks/model_fleet_test.h
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,6 +53,11 @@
   /// True if a refused caller waits as long as it was told; others send again
   /// within milliseconds.
   bool patient = true;
+  /// What patient callers take themselves to be told, whatever they are.
+  std::optional<Duration> told_always;
+  /// Requests come only in this part of the replay.
+  Duration from{};
+  Duration until = std::chrono::hours(1);
   /// Share of all requests that go to the first host; others are spread, some
   /// hosts getting twice as many as others.
   double first_host_share = 0.0;
@@ -285,8 +291,10 @@
   void ScheduleNext(std::size_t kind, Instant end) {
     const double gap =
         -std::log(1.0 - random_.Unit()) / kinds_[kind].traffic.per_second;
-    const Instant when = now_ + Duration(static_cast<std::int64_t>(gap * 1e6));
-    if (when >= end) {
+    const ModelTraffic& traffic = kinds_[kind].traffic;
+    const Instant when = std::max(now_, begun_ + traffic.from) +
+                         Duration(static_cast<std::int64_t>(gap * 1e6));
+    if (when >= std::min(end, begun_ + traffic.until)) {
       return;
     }
     At(when, [this, kind, end] {
@@ -506,7 +514,7 @@
     const ModelTraffic& traffic = kinds_[asked.kind].traffic;
     const Duration wait =
         traffic.patient
-            ? told
+            ? traffic.told_always.value_or(told)
             : Duration(static_cast<std::int64_t>(random_.Unit() * 10e3));
     const Duration left = traffic.deadline - (now_ + wait - asked.first_at);
     if (asked.tries_left == 0 || left <= Duration{}) {
--- a/src/libsnipeworks/policy.cpp
+++ b/src/libsnipeworks/policy.cpp
@@ -57,6 +57,10 @@
                 "how long a request that broke two targets is refused"},
     PolicyField{"admission", &GroupPolicy::admission, 0, 1, kSwitch,
                 "whether requests that cannot finish in time are refused"},
+    PolicyField{"return_latest_percent", &GroupPolicy::return_latest_percent,
+                10, 100, Names(),
+                "when the last of those that are refused for load are told to "
+                "come back, in percent of the time that they have left"},
     PolicyField{"slow_start_ms", &GroupPolicy::slow_start_ms, 0, 600000,
                 Names(), "how long a new target's share of work grows"},
     PolicyField{"eject_ms", &GroupPolicy::eject_ms, 10, 600000, Names(),
--- a/src/libsnipeworks/request_filters.cpp
+++ b/src/libsnipeworks/request_filters.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "snipeworks/return_time.h"
 #include "snipeworks/search_run.h"
 
 namespace snipeworks {
@@ -18,8 +19,6 @@
 // The expected wait is a mean. Of a search's many parts the last one counts,
 // which waits this much longer for each tenfold of parts.
 constexpr double kWaitSpread = 1.0;
-// A caller that comes back sooner than this would find the same queue.
-constexpr Duration kMinOverloadRetryAfter = milliseconds(1000);
 
 }  // namespace
 
@@ -146,8 +145,11 @@
   if (last_wait + context.group->Reference() <= allowed) {
     return {};
   }
+  const TurnedAway caller{context.request.request_class, wait, context.budget,
+                          milliseconds(policy.deadline_ms),
+                          policy.return_latest_percent};
   return Fail(ErrorKind::kOverloaded, "too many requests wait for this group",
-              std::max<Duration>(wait, kMinOverloadRetryAfter));
+              ReturnAfter(random_, caller));
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -41,7 +41,7 @@
                    view_,
                    [this](const std::string& name) { return FindGroup(name); }),
                QuarantineFilter(poison_),
-               AdmissionFilter(queue_, selector_)) {}
+               AdmissionFilter(queue_, selector_, random_)) {}
 
 void SearchEngine::SetFleetHosts(std::uint32_t hosts) {
   config_.fleet_hosts = std::max(1U, hosts);
