--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -12,6 +12,7 @@
 #include "snipeworks/event_log.h"
 #include "snipeworks/event_loop.h"
 #include "snipeworks/forward_gateway.h"
+#include "snipeworks/forward_message.h"
 #include "snipeworks/forward_plan.h"
 #include "snipeworks/host_settings.h"
 #include "snipeworks/http_listener.h"
@@ -48,15 +49,12 @@
   struct Running {
     SearchRequest request;
     ExchangeId exchange = 0;
-    std::uint32_t top_records = 0;
-    bool whole_answer = false;  ///< One target's answer is passed on.
-    bool is_head = false;
+    AnswerShape shape;
     Instant started{};
   };
 
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnGone(ExchangeId exchange);
-  std::shared_ptr<const ForwardedRequest> Forwarded(HttpRequest& request) const;
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
               const Error& error);
@@ -64,9 +62,6 @@
   void SetNextTimer();
   void Do(const SearchAction& action);
   void Finish(const FinishSearch& finish);
-  HttpResponse Answer(const Running& running, const SearchAnswer& answer) const;
-  HttpResponse Failure(const Running& running,
-                       const FinishSearch& finish) const;
   void LogFinish(const Running& running,
                  const FinishSearch& finish,
                  int status);
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -3,7 +3,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <random>
 #include <utility>
@@ -11,7 +10,6 @@
 #include <glog/logging.h>
 
 #include "snipeworks/caller_api.h"
-#include "snipeworks/record_merge.h"
 #include "snipeworks/target_directory.h"
 
 namespace snipeworks {
@@ -34,9 +32,6 @@
 // What callers have not read of their last answers when the work is done.
 constexpr Duration kFlushTime = milliseconds(150);
 
-// Statuses that callers take as a promise that the request was not run.
-constexpr std::array<int, 4> kPromises = {408, 421, 429, 503};
-
 SearchControllerConfig ConfigFor(const HostSettings& settings) {
   SearchControllerConfig config;
   config.host = settings.host();
@@ -257,11 +252,11 @@
   running.request.plan = std::move(plan);
   running.request.group = running.request.plan->name;
   running.exchange = exchange;
-  running.top_records = route->top_records;
-  running.whole_answer = route->shards.empty();
-  running.is_head = request.method == "HEAD";
+  running.shape.top_records = route->top_records;
+  running.shape.whole_answer = route->shards.empty();
+  running.shape.is_head = request.method == "HEAD";
   running.started = now;
-  running.request.forwarded = Forwarded(request);
+  running.request.forwarded = ToForwarded(request, names_);
   const RequestId id = running.request.id;
   by_exchange_[exchange] = id;
   const SearchRequest submitted = running.request;
@@ -269,36 +264,6 @@
   searches_.Submit(now, submitted);
 }
 
-// What every target gets alike; the deadline and the target's name are added
-// for each.
-std::shared_ptr<const ForwardedRequest> ForwardHost::Forwarded(
-    HttpRequest& request) const {
-  auto message = std::make_shared<SharedRequest>();
-  const std::string place = request.method + ' ' + request.target + ' ' +
-                            std::string(request.Header("Host"));
-  message->is_head = request.method == "HEAD";
-  message->head.reserve(512);
-  message->head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
-  auto forwarded = std::make_shared<ForwardedRequest>();
-  forwarded->request_id = std::string(request.Header(names_.request_id));
-  DropConnectionHeaders(request.headers);
-  for (const HttpHeader& header : request.headers) {
-    if (SameHeaderName(header.name, names_.deadline_ms) ||
-        SameHeaderName(header.name, names_.expected_target)) {
-      continue;
-    }
-    message->head += header.name + ": " + header.value + "\r\n";
-  }
-  const bool has_no_body = request.body.empty();
-  if (has_no_body && (request.method == "POST" || request.method == "PUT")) {
-    message->head += "Content-Length: 0\r\n";
-  }
-  message->body = std::move(request.body);
-  forwarded->fingerprint = FingerprintOf(place, message->body);
-  forwarded->message = std::move(message);
-  return forwarded;
-}
-
 void ForwardHost::Reject(ExchangeId exchange,
                          const HttpRequest& request,
                          const Error& error) {
@@ -506,8 +471,10 @@
   by_exchange_.erase(running.exchange);
   metrics_.OnSearch(running.request, finish.result,
                     MonotonicNow() - running.started);
-  const HttpResponse response = finish.result ? Answer(running, *finish.result)
-                                              : Failure(running, finish);
+  const HttpResponse response =
+      finish.result
+          ? ToResponse(*finish.result, running.request, running.shape, names_)
+          : ToFailure(finish, running.request, running.shape, names_);
   LogFinish(running, finish, response.status);
   front_->Answer(running.exchange, response);
 }
@@ -557,63 +524,6 @@
        {"sampled_one_in", plain ? kSuccessSample : 1}});
 }
 
-HttpResponse ForwardHost::Answer(const Running& running,
-                                 const SearchAnswer& answer) const {
-  HttpResponse response;
-  if (running.whole_answer) {
-    const TargetAnswer& only = *answer.answers.front();
-    response.status = only.status;
-    response.content_type.clear();
-    response.headers = only.headers;
-    response.body = only.body;
-    if (running.is_head) {
-      response.declared_length = only.declared_length;
-    }
-    return response;
-  }
-  std::vector<std::string_view> bodies;
-  std::string signatures;
-  for (const auto& part : answer.answers) {
-    bodies.push_back(part->body);
-    signatures += (signatures.empty() ? "" : ", ") + part->signature;
-  }
-  const std::size_t missing =
-      running.request.plan->groups.size() - answer.answers.size();
-  response.content_type = "application/octet-stream";
-  response.body = GreatestRecords(bodies, running.top_records);
-  response.headers = {
-      {names_.request_id, running.request.forwarded->request_id},
-      {names_.part_signatures, std::move(signatures)},
-      {names_.missing_parts, std::to_string(missing)}};
-  return response;
-}
-
-// A target's own failure is passed on, unless its status would promise callers
-// that a request was not run which may have been.
-HttpResponse ForwardHost::Failure(const Running& running,
-                                  const FinishSearch& finish) const {
-  const Error& error = finish.result.error();
-  const bool ran = RowOf(error.kind).ran != Ran::kNo;
-  if (running.whole_answer && finish.failure && ran) {
-    const TargetAnswer& failure = *finish.failure;
-    const bool promise =
-        std::ranges::find(kPromises, failure.status) != kPromises.end();
-    const bool success = failure.status >= 200 && failure.status < 300;
-    if (!success && (!promise || running.request.repeatable)) {
-      HttpResponse response;
-      response.status = failure.status;
-      response.content_type.clear();
-      response.headers = failure.headers;
-      response.body = failure.body;
-      return response;
-    }
-  }
-  HttpResponse response = ToHttp(error, RetryAfterForm::kFraction);
-  response.headers.push_back(
-      {names_.request_id, running.request.forwarded->request_id});
-  return response;
-}
-
 std::string ForwardHost::MetricsPage() {
   EntryGauges gauges;
   gauges.running = searches_.running();
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -1,7 +1,5 @@
 #include "snipeworks/http_client.h"
 
-#include <http_parser.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <uv.h>
@@ -9,12 +7,12 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
-#include <deque>
 #include <unordered_map>
 #include <utility>
 
 #include <glog/logging.h>
 
+#include "http_client_state.h"
 #include "snipeworks/address.h"
 #include "snipeworks/string_map.h"
 #include "snipeworks/timer_queue.h"
@@ -25,103 +23,16 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kDefaultConnectionLimit = 4;
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 // A target goes on counting connections that went silent until it gives them
 // up; for this long they are taken to be held.
 constexpr Duration kSilentHeld = std::chrono::seconds(60);
-// A kept connection is given up this long before its server says it will be:
-// a request that crosses the server's close may or may not have run.
-constexpr Duration kKeepAliveMargin = milliseconds(500);
-// For servers that do not say how long they keep an idle connection.
-constexpr Duration kDefaultKeepAlive = std::chrono::seconds(30);
 // Bytes that are not acknowledged for this long break a connection.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr Duration kSweepInterval = milliseconds(500);
 // An answer without end must not take the host's memory.
 constexpr std::size_t kMaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
-std::string Serialize(const HttpCall& call) {
-  const bool shared = call.shared != nullptr;
-  const std::string& body = shared ? call.shared->body : call.body;
-  std::string text;
-  text.reserve((shared ? call.shared->head.size() : 128) + 256 + body.size());
-  if (shared) {
-    text += call.shared->head;
-  } else {
-    text += call.method + ' ' + call.path +
-            " HTTP/1.1\r\nHost: " + call.address + "\r\n";
-    if (!body.empty()) {
-      text += "Content-Type: application/json\r\n";
-    }
-  }
-  for (const HttpHeader& header : call.headers) {
-    text += header.name;
-    text += ": ";
-    text += header.value;
-    text += "\r\n";
-  }
-  if (!body.empty() || (!shared && call.method == "POST")) {
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  }
-  text += "\r\n";
-  text += body;
-  return text;
-}
-
-struct Connection;
-
-// One call on its way.
-struct Transfer {
-  HttpCallId id = 0;
-  HttpCall call;
-  HttpClient::Done done;
-  Connection* connection = nullptr;
-  Instant ends{};          ///< When the whole call is given up.
-  Instant connect_ends{};  ///< When a connection that is not there is.
-  HttpCallResult result;
-};
-
-// The way to one address.
-struct Route {
-  // Connections that were given up as silent, which the other end may hold.
-  struct SilentConnections {
-    Instant held_until;
-    std::uint32_t count = 0;
-  };
-
-  sockaddr_in address{};
-  std::uint32_t limit = kDefaultConnectionLimit;
-  std::uint32_t open = 0;
-  std::uint64_t generation = 0;  ///< Connections of older ones are not reused.
-  std::vector<Connection*> idle;
-  std::deque<HttpCallId> waiting;
-  std::vector<SilentConnections> silent;
-};
-
-struct Connection {
-  uv_tcp_t handle;
-  uv_connect_t connect;
-  uv_write_t write;
-  http_parser parser;
-  Route* route = nullptr;
-  void* owner = nullptr;
-  std::uint64_t generation = 0;
-  Transfer* transfer = nullptr;
-  std::string out;  ///< The request that is being written.
-  std::uint64_t calls = 0;
-  bool connected = false;
-  bool writing = false;
-  bool sent = false;  ///< Any byte of the current request was handed over.
-  bool closing = false;
-  bool reusable = true;
-  bool value_seen = false;
-  bool complete = false;
-  bool counted = true;  ///< Whether it counts in route->open.
-  Instant idle_since{};
-  Instant idle_until{};
-};
-
 }  // namespace
 
 class HttpClient::Impl {
@@ -137,7 +48,7 @@
     };
     callbacks_.on_header_field = [](http_parser* parser, const char* at,
                                     std::size_t size) {
-      Connection& connection = Of(parser);
+      HttpConnection& connection = Of(parser);
       auto& headers = connection.transfer->result.headers;
       if (headers.empty() || connection.value_seen) {
         headers.emplace_back();
@@ -148,13 +59,13 @@
     };
     callbacks_.on_header_value = [](http_parser* parser, const char* at,
                                     std::size_t size) {
-      Connection& connection = Of(parser);
+      HttpConnection& connection = Of(parser);
       connection.value_seen = true;
       connection.transfer->result.headers.back().value.append(at, size);
       return 0;
     };
     callbacks_.on_headers_complete = [](http_parser* parser) {
-      const Transfer& transfer = *Of(parser).transfer;
+      const HttpTransfer& transfer = *Of(parser).transfer;
       const bool is_head = transfer.call.shared
                                ? transfer.call.shared->is_head
                                : transfer.call.method == "HEAD";
@@ -176,9 +87,9 @@
     for (auto& [address, route] : routes_) {
       route.waiting.clear();
     }
-    const std::vector<Connection*> open(connections_.begin(),
-                                        connections_.end());
-    for (Connection* connection : open) {
+    const std::vector<HttpConnection*> open(connections_.begin(),
+                                            connections_.end());
+    for (HttpConnection* connection : open) {
       connection->transfer = nullptr;
       Close(*connection);
     }
@@ -187,7 +98,7 @@
   HttpCallId Send(HttpCall call, Done done) {
     const HttpCallId id = next_++;
     ++traffic_.calls;
-    Transfer& added = transfers_[id];
+    HttpTransfer& added = transfers_[id];
     added.id = id;
     added.call = std::move(call);
     added.done = std::move(done);
@@ -206,7 +117,7 @@
   }
 
   void SetLimit(const std::string& address, std::uint32_t limit) {
-    Route& route = RouteOf(address);
+    HttpRoute& route = RouteOf(address);
     route.limit = std::max(1U, limit);
     ServeWaiting(route);
   }
@@ -216,21 +127,21 @@
     if (found == transfers_.end() || found->second.connection == nullptr) {
       return;
     }
-    Route& route = *found->second.connection->route;
+    HttpRoute& route = *found->second.connection->route;
     if (found->second.connection->generation != route.generation) {
       return;
     }
     route.silent.push_back({MonotonicNow() + kSilentHeld, route.open});
     ++route.generation;
-    const std::vector<Connection*> idle = std::exchange(route.idle, {});
-    for (Connection* connection : connections_) {
+    const std::vector<HttpConnection*> idle = std::exchange(route.idle, {});
+    for (HttpConnection* connection : connections_) {
       if (connection->route == &route && connection->counted) {
         connection->counted = false;
         connection->reusable = false;
         --route.open;
       }
     }
-    for (Connection* connection : idle) {
+    for (HttpConnection* connection : idle) {
       Close(*connection);
     }
   }
@@ -238,15 +149,15 @@
   const HttpClientTraffic& traffic() const { return traffic_; }
 
  private:
-  static Connection& Of(http_parser* parser) {
-    return *static_cast<Connection*>(parser->data);
+  static HttpConnection& Of(http_parser* parser) {
+    return *static_cast<HttpConnection*>(parser->data);
   }
 
-  static Impl& OwnerOf(const Connection& connection) {
+  static Impl& OwnerOf(const HttpConnection& connection) {
     return *static_cast<Impl*>(connection.owner);
   }
 
-  static void ResetResult(Connection& connection) {
+  static void ResetResult(HttpConnection& connection) {
     connection.value_seen = false;
     HttpCallResult& result = connection.transfer->result;
     result.headers.clear();
@@ -255,13 +166,13 @@
   }
 
   // Returns 0 to read on: after an interim answer, or one to another call.
-  static int OnMessage(Connection& connection) {
+  static int OnMessage(HttpConnection& connection) {
     const int status = static_cast<int>(connection.parser.status_code);
     const bool interim = status >= 100 && status < 200 && status != 101;
     if (interim) {
       return 0;
     }
-    const Transfer& transfer = *connection.transfer;
+    const HttpTransfer& transfer = *connection.transfer;
     if (!http_should_keep_alive(&connection.parser)) {
       connection.reusable = false;
     }
@@ -280,7 +191,7 @@
     return 0;
   }
 
-  Route& RouteOf(const std::string& address) {
+  HttpRoute& RouteOf(const std::string& address) {
     auto [slot, added] = routes_.try_emplace(address);
     if (added) {
       if (auto parsed = Address::Parse(address)) {
@@ -290,26 +201,12 @@
     return slot->second;
   }
 
-  static std::uint32_t Limit(Route& route) {
-    if (route.silent.empty()) {
-      return route.limit;
-    }
-    const Instant now = MonotonicNow();
-    std::uint32_t held = 0;
-    std::erase_if(route.silent, [&](const Route::SilentConnections& one) {
-      const bool given_up = now >= one.held_until;
-      held += given_up ? 0 : one.count;
-      return given_up;
-    });
-    return route.limit > held ? route.limit - held : 1;
-  }
-
   // Takes the connection that was used last, opens one, or lets the call wait.
-  void Place(Route& route, Transfer& transfer) {
+  void Place(HttpRoute& route, HttpTransfer& transfer) {
     const Instant now = MonotonicNow();
     if (!transfer.call.fresh_connection) {
       while (!route.idle.empty()) {
-        Connection* connection = route.idle.back();
+        HttpConnection* connection = route.idle.back();
         if (now - connection->idle_since > transfer.call.max_idle) {
           break;
         }
@@ -321,9 +218,9 @@
         Close(*connection);
       }
     }
-    const std::uint32_t limit = Limit(route);
+    const std::uint32_t limit = route.LimitNow();
     if (route.open >= limit && !route.idle.empty()) {
-      Connection* oldest = route.idle.front();
+      HttpConnection* oldest = route.idle.front();
       route.idle.erase(route.idle.begin());
       Close(*oldest);
     }
@@ -334,9 +231,9 @@
     }
   }
 
-  void ServeWaiting(Route& route) {
+  void ServeWaiting(HttpRoute& route) {
     while (!route.waiting.empty() &&
-           (!route.idle.empty() || route.open < Limit(route))) {
+           (!route.idle.empty() || route.open < route.LimitNow())) {
       const HttpCallId id = route.waiting.front();
       route.waiting.pop_front();
       auto found = transfers_.find(id);
@@ -346,8 +243,8 @@
     }
   }
 
-  void Open(Route& route, Transfer& transfer) {
-    auto* connection = new Connection;
+  void Open(HttpRoute& route, HttpTransfer& transfer) {
+    auto* connection = new HttpConnection;
     connection->owner = this;
     connection->route = &route;
     connection->generation = route.generation;
@@ -374,7 +271,7 @@
         &connection->connect, &connection->handle,
         reinterpret_cast<const sockaddr*>(&route.address),
         [](uv_connect_t* request, int status) {
-          auto& connected = *static_cast<Connection*>(request->data);
+          auto& connected = *static_cast<HttpConnection*>(request->data);
           if (!connected.closing) {
             OwnerOf(connected).OnConnected(connected, status);
           }
@@ -384,7 +281,7 @@
     }
   }
 
-  void OnConnected(Connection& connection, int status) {
+  void OnConnected(HttpConnection& connection, int status) {
     if (status != 0) {
       Fail(connection);
       return;
@@ -395,12 +292,12 @@
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&connection.handle),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-          Impl& owner = OwnerOf(*static_cast<Connection*>(handle->data));
+          Impl& owner = OwnerOf(*static_cast<HttpConnection*>(handle->data));
           *buffer = uv_buf_init(owner.buffer_.data(),
                                 static_cast<unsigned>(owner.buffer_.size()));
         },
         [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
-          auto& read = *static_cast<Connection*>(stream->data);
+          auto& read = *static_cast<HttpConnection*>(stream->data);
           if (read.closing || size == 0) {
             return;
           }
@@ -414,7 +311,7 @@
     Begin(connection, *connection.transfer);
   }
 
-  void Begin(Connection& connection, Transfer& transfer) {
+  void Begin(HttpConnection& connection, HttpTransfer& transfer) {
     transfer.connection = &connection;
     transfer.result.reused_connection = connection.calls > 0;
     connection.transfer = &transfer;
@@ -441,11 +338,11 @@
     connection.writing = true;
     uv_write(&connection.write, stream, &buffer, 1,
              [](uv_write_t* request, int) {
-               static_cast<Connection*>(request->data)->writing = false;
+               static_cast<HttpConnection*>(request->data)->writing = false;
              });
   }
 
-  void OnData(Connection& connection, std::string_view bytes) {
+  void OnData(HttpConnection& connection, std::string_view bytes) {
     if (connection.transfer == nullptr) {
       // Nobody waits for an answer: what came belongs to no call.
       Close(connection);
@@ -464,22 +361,10 @@
     }
   }
 
-  // libuv tells the end of a stream when the other side hangs up, also if it
-  // did so with a reset.
-  static bool WasReset(const Connection& connection) {
-    uv_os_fd_t socket = -1;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&connection.handle),
-                  &socket) != 0) {
-      return true;
-    }
-    char byte = 0;
-    return recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
-  }
-
   // An answer without a length ends with its connection, if that was closed in
   // order.
-  void OnEnd(Connection& connection, bool in_order) {
-    if (connection.transfer == nullptr || !in_order || WasReset(connection)) {
+  void OnEnd(HttpConnection& connection, bool in_order) {
+    if (connection.transfer == nullptr || !in_order || connection.WasReset()) {
       Fail(connection);
       return;
     }
@@ -492,8 +377,8 @@
     }
   }
 
-  void Finish(Connection& connection, bool extra_bytes) {
-    Transfer& transfer = *connection.transfer;
+  void Finish(HttpConnection& connection, bool extra_bytes) {
+    HttpTransfer& transfer = *connection.transfer;
     HttpCallResult& result = transfer.result;
     result.status = HttpCallStatus::kAnswered;
     result.http_status = static_cast<int>(connection.parser.status_code);
@@ -501,7 +386,7 @@
         std::strtod(std::string(result.Header("Retry-After")).c_str(), nullptr);
     connection.transfer = nullptr;
     transfer.connection = nullptr;
-    Route& route = *connection.route;
+    HttpRoute& route = *connection.route;
     const Instant now = MonotonicNow();
     connection.idle_since = now;
     connection.idle_until = now + KeepAliveOf(result);
@@ -518,19 +403,9 @@
     Report(transfer.id);
   }
 
-  static Duration KeepAliveOf(const HttpCallResult& result) {
-    const std::string text(result.Header("Keep-Alive"));
-    const auto at = text.find("timeout=");
-    if (at == std::string::npos) {
-      return kDefaultKeepAlive;
-    }
-    const long seconds = std::strtol(text.c_str() + at + 8, nullptr, 10);
-    return std::chrono::seconds(seconds) - kKeepAliveMargin;
-  }
-
   // The connection broke.
-  void Fail(Connection& connection) {
-    Transfer* transfer = connection.transfer;
+  void Fail(HttpConnection& connection) {
+    HttpTransfer* transfer = connection.transfer;
     if (transfer == nullptr) {
       Close(connection);
       return;
@@ -547,11 +422,11 @@
     Report(id);
   }
 
-  void Close(Connection& connection) {
+  void Close(HttpConnection& connection) {
     if (std::exchange(connection.closing, true)) {
       return;
     }
-    Route& route = *connection.route;
+    HttpRoute& route = *connection.route;
     std::erase(route.idle, &connection);
     std::erase(connections_, &connection);
     if (connection.counted) {
@@ -559,7 +434,7 @@
     }
     uv_close(reinterpret_cast<uv_handle_t*>(&connection.handle),
              [](uv_handle_t* handle) {
-               delete static_cast<Connection*>(handle->data);
+               delete static_cast<HttpConnection*>(handle->data);
              });
     if (!route.waiting.empty()) {
       loop_.Post([this, &route] { ServeWaiting(route); });
@@ -574,14 +449,15 @@
   }
 
   // For ends that come out of a caller's own call: `done` runs from the loop.
-  void EndLater(Transfer& transfer, HttpCallStatus status) {
+  void EndLater(HttpTransfer& transfer, HttpCallStatus status) {
     transfer.result.status = status;
-    if (Connection* connection = std::exchange(transfer.connection, nullptr)) {
+    if (HttpConnection* connection =
+            std::exchange(transfer.connection, nullptr)) {
       connection->transfer = nullptr;
       Close(*connection);
     }
     auto node = transfers_.extract(transfer.id);
-    auto ended = std::make_shared<Transfer>(std::move(node.mapped()));
+    auto ended = std::make_shared<HttpTransfer>(std::move(node.mapped()));
     loop_.Post([ended] { ended->done(std::move(ended->result)); });
   }
 
@@ -599,8 +475,8 @@
       if (found == transfers_.end()) {
         continue;
       }
-      Transfer& transfer = found->second;
-      Connection* connection = transfer.connection;
+      HttpTransfer& transfer = found->second;
+      HttpConnection* connection = transfer.connection;
       const bool sent = connection != nullptr && connection->sent;
       if (now >= transfer.ends) {
         EndLater(transfer,
@@ -616,15 +492,15 @@
 
   void Sweep() {
     const Instant now = MonotonicNow();
-    std::vector<Connection*> old;
-    for (Connection* connection : connections_) {
+    std::vector<HttpConnection*> old;
+    for (HttpConnection* connection : connections_) {
       const bool idle =
           connection->transfer == nullptr && connection->connected;
       if (idle && now >= connection->idle_until) {
         old.push_back(connection);
       }
     }
-    for (Connection* connection : old) {
+    for (HttpConnection* connection : old) {
       Close(*connection);
     }
     sweep_.Set(kSweepInterval);
@@ -632,9 +508,9 @@
 
   EventLoop& loop_;
   http_parser_settings callbacks_{};
-  StringMap<Route> routes_;
-  std::vector<Connection*> connections_;
-  std::unordered_map<HttpCallId, Transfer> transfers_;
+  StringMap<HttpRoute> routes_;
+  std::vector<HttpConnection*> connections_;
+  std::unordered_map<HttpCallId, HttpTransfer> transfers_;
   TimerQueue<HttpCallId> timers_;
   HttpCallId next_ = 1;
   HttpClientTraffic traffic_;
