Meet hosts that come up without waiting for a lost first packet

Hosts that start earlier call the others while they are down; that first packet is lost, the next goes out a second later, and all calls of that second wait behind it. Change: a call that finds its link connecting for 150 ms opens another connection, with doubled patience each time, and takes along what waits.

--- a/src/libsnipeworks/event_loop_test.cpp
+++ b/src/libsnipeworks/event_loop_test.cpp
@@ -1,5 +1,8 @@
 #include "snipeworks/event_loop.h"
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <string>
@@ -8,6 +11,7 @@
 
 #include "snipeworks/http_client.h"
 #include "snipeworks/peer_transport.h"
+#include "test_sockets_test.h"
 
 namespace snipeworks {
 namespace {
@@ -101,6 +105,50 @@
   EXPECT_EQ(client.traffic().connections_opened, 2U);
 }
 
+// Load pattern: all control hosts come back one after the other after a loss of
+// power, and each calls the others before they are up.
+TEST_F(Peers, AHostThatComesUpIsMetBeforeItsFirstPacketIsSentAgain) {
+  // A listener whose queue is full drops what asks for a connection.
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = LoopbackAt(FreePort());
+  ASSERT_EQ(
+      bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  ASSERT_EQ(listen(listener, 0), 0);
+  const std::string name =
+      "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  const int filler = socket(AF_INET, SOCK_STREAM, 0);
+  ASSERT_EQ(
+      connect(filler, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  const auto call = [&] {
+    client.Call(name, "/x", "x", seconds(5), [](const PeerResult&) {});
+  };
+  call();
+  Instant met{};
+  Instant up{};
+  int accepted = -1;
+  loop.After(milliseconds(300), [&] {
+    close(accept(listener, nullptr, nullptr));
+    fcntl(listener, F_SETFL, O_NONBLOCK);
+    up = MonotonicNow();
+    call();
+  });
+  loop.Every(milliseconds(5), [&] {
+    accepted = up == Instant{} ? -1 : accept(listener, nullptr, nullptr);
+    const bool late = up != Instant{} && MonotonicNow() - up > seconds(2);
+    if (accepted >= 0 || late) {
+      met = MonotonicNow();
+      loop.Stop();
+    }
+  });
+  loop.Run();
+  EXPECT_LT(met - up, milliseconds(300));
+  for (const int descriptor : {accepted, filler, listener}) {
+    close(descriptor);
+  }
+}
+
 TEST_F(Peers, NobodyThereIsUnreachable) {
   EXPECT_EQ(Call("x", seconds(1)).error(), PeerFailure::kUnreachable);
 }
--- a/src/libsnipeworks/peer_transport.cpp
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -17,6 +17,11 @@
 constexpr int kOkStatus = 200;
 constexpr int kRejectedStatus = 500;
 constexpr int kBacklog = 128;
+// The first packet to a host that is down is lost, and the next one goes out
+// after a second. A call after this long tries a new connection, so that a host
+// which came up meanwhile is met at once. Doubles with each try, for slow
+// links.
+constexpr Duration kConnectPatience = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -173,6 +178,10 @@
     link.waiting.push_back({id, path, std::move(payload)});
     if (link.connection == nullptr) {
       Open(address, link);
+    } else if (!link.reopen &&
+               MonotonicNow() - link.opened > link.connect_patience) {
+      link.reopen = true;
+      link.connection->Close();
     }
   }
 
@@ -206,6 +215,9 @@
   struct Link {
     Http2Connection* connection = nullptr;
     bool connected = false;
+    bool reopen = false;  ///< Given up; what waits goes on another connection.
+    Instant opened{};
+    Duration connect_patience = kConnectPatience;
     std::vector<WaitingCall> waiting;
     std::unordered_map<std::int32_t, CallId> streams;
   };
@@ -234,6 +246,7 @@
         OnClosed(address);
       }
     };
+    link.opened = MonotonicNow();
     link.connection =
         Http2Connection::New(loop_.raw(), Http2Connection::Role::kClient,
                              std::move(events), traffic_);
@@ -290,6 +303,13 @@
 
   void OnClosed(const std::string& address) {
     Link link = std::exchange(links_[address], {});
+    if (link.reopen) {
+      Link& again = links_[address];
+      again.waiting = std::move(link.waiting);
+      again.connect_patience = 2 * link.connect_patience;
+      Open(address, again);
+      return;
+    }
     for (const WaitingCall& call : link.waiting) {
       End(call.id, tl::unexpected(PeerFailure::kUnreachable));
     }
