--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -96,6 +96,7 @@
   std::unordered_map<ExchangeId, RequestId> by_exchange_;
   RequestId next_request_ = 1;
   std::uint64_t successes_ = 0;
+  Instant started_{};
   Instant last_turn_{};
   bool leaving_ = false;
   bool told_ready_ = false;
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -24,6 +24,10 @@
 // One success in so many is written to the log.
 constexpr std::uint64_t kSuccessSample = 64;
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
+// After a loss of power the control hosts come up, elect a leader and tell the
+// routes within about this time; a caller that comes back sooner meets the
+// same refusal.
+constexpr Duration kUsualStart = milliseconds(800);
 // Another host serves the caller at once.
 constexpr Duration kCutOffRetryAfter = milliseconds(10);
 constexpr Duration kIdleCheck = milliseconds(50);
@@ -158,7 +162,8 @@
     }
     metrics_listener_ = std::move(*listener);
   }
-  last_turn_ = MonotonicNow();
+  started_ = MonotonicNow();
+  last_turn_ = started_;
   loop_.AfterEachTurn([this] { AfterTurn(); });
   feed_.Start();
   SetNextTimer();
@@ -222,9 +227,9 @@
 void ForwardHost::OnRequest(ExchangeId exchange, HttpRequest request) {
   const Instant now = MonotonicNow();
   if (planner_.table() == nullptr) {
-    Reject(
-        exchange, request,
-        {ErrorKind::kNotReady, "no routes are known yet", kNotReadyRetryAfter});
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "no routes are known yet",
+            std::max(kNotReadyRetryAfter, kUsualStart - (now - started_))});
     return;
   }
   const Route* route =
