--- a/src/include/snipeworks/target_protocol.h
+++ b/src/include/snipeworks/target_protocol.h
@@ -2,6 +2,7 @@
 #define SNIPEWORKS_TARGET_PROTOCOL_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,6 +51,11 @@
 /// The HTTP status that goes with an outcome.
 int HttpStatusOf(AttemptStatus status);
 
+/// How an attempt ended whose call brought no answer; nothing if it brought
+/// one. `on_timeout` is what a call without an answer in its time means.
+std::optional<AttemptStatus> UnansweredStatus(HttpCallStatus status,
+                                              AttemptStatus on_timeout);
+
 /// What a call to kRunPath for `attempt` came to. An answer that echoes another
 /// attempt is never taken.
 AttemptOutcome OutcomeOf(const HttpCallResult& result,
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "snipeworks/target_protocol.h"
+
 namespace snipeworks {
 
 namespace {
@@ -87,21 +89,10 @@
 AttemptOutcome ForwardOutcomeOf(HttpCallResult result,
                                 const ForwardNames& names) {
   AttemptOutcome outcome;
-  switch (result.status) {
-    case HttpCallStatus::kNotSent:
-      outcome.status = AttemptStatus::kNotSent;
-      return outcome;
-    case HttpCallStatus::kLost:
-      outcome.status = AttemptStatus::kLost;
-      return outcome;
-    case HttpCallStatus::kTimeout:
-      outcome.status = AttemptStatus::kFailed;
-      return outcome;
-    case HttpCallStatus::kAborted:
-      outcome.status = AttemptStatus::kCancelled;
-      return outcome;
-    case HttpCallStatus::kAnswered:
-      break;
+  if (const auto status =
+          UnansweredStatus(result.status, AttemptStatus::kFailed)) {
+    outcome.status = *status;
+    return outcome;
   }
   outcome.load = ParseLoad(result.Header(names.load));
   if (result.http_status == kMisdirectedStatus) {
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -156,23 +156,31 @@
   }
 }
 
-AttemptOutcome OutcomeOf(const HttpCallResult& result,
-                         const std::string& attempt) {
-  AttemptOutcome outcome;
-  switch (result.status) {
+std::optional<AttemptStatus> UnansweredStatus(HttpCallStatus status,
+                                              AttemptStatus on_timeout) {
+  switch (status) {
     case HttpCallStatus::kNotSent:
-      outcome.status = AttemptStatus::kNotSent;
-      return outcome;
+      return AttemptStatus::kNotSent;
     case HttpCallStatus::kLost:
-      outcome.status = AttemptStatus::kLost;
-      return outcome;
+      return AttemptStatus::kLost;
     case HttpCallStatus::kTimeout:
+      return on_timeout;
     case HttpCallStatus::kAborted:
-      outcome.status = AttemptStatus::kCancelled;
-      return outcome;
+      return AttemptStatus::kCancelled;
     case HttpCallStatus::kAnswered:
       break;
   }
+  return std::nullopt;
+}
+
+AttemptOutcome OutcomeOf(const HttpCallResult& result,
+                         const std::string& attempt) {
+  AttemptOutcome outcome;
+  if (const auto status =
+          UnansweredStatus(result.status, AttemptStatus::kCancelled)) {
+    outcome.status = *status;
+    return outcome;
+  }
   Result<RunAnswer> answer = ParseRunAnswer(result.body);
   if (!answer || answer->attempt != attempt) {
     outcome.status = AttemptStatus::kFailed;
