Give what waits for a connection another one without a further call

Change: the patience with a connecting link is a timer of the link, not a check of the next call; it doubles up to one second.

--- a/src/libsnipeworks/peer_transport.cpp
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "snipeworks/peer_transport.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -18,10 +19,11 @@
 constexpr int kRejectedStatus = 500;
 constexpr int kBacklog = 128;
 // The first packet to a host that is down is lost, and the next one goes out
-// after a second. A call after this long tries a new connection, so that a host
-// which came up meanwhile is met at once. Doubles with each try, for slow
-// links.
+// after a second. What waits for a connection this long gets another one, so
+// that a host which came up meanwhile is met soon. Doubles with each try, for
+// slow links, up to the time after which the packet is sent again anyway.
 constexpr Duration kConnectPatience = std::chrono::milliseconds(150);
+constexpr Duration kMostConnectPatience = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -178,10 +180,6 @@
     link.waiting.push_back({id, path, std::move(payload)});
     if (link.connection == nullptr) {
       Open(address, link);
-    } else if (!link.reopen &&
-               MonotonicNow() - link.opened > link.connect_patience) {
-      link.reopen = true;
-      link.connection->Close();
     }
   }
 
@@ -216,7 +214,7 @@
     Http2Connection* connection = nullptr;
     bool connected = false;
     bool reopen = false;  ///< Given up; what waits goes on another connection.
-    Instant opened{};
+    std::uint64_t number = 0;  ///< Tells it from others to the same address.
     Duration connect_patience = kConnectPatience;
     std::vector<WaitingCall> waiting;
     std::unordered_map<std::int32_t, CallId> streams;
@@ -246,7 +244,13 @@
         OnClosed(address);
       }
     };
-    link.opened = MonotonicNow();
+    link.number = ++opened_;
+    loop_.After(link.connect_patience,
+                [this, address, number = link.number, alive = alive_] {
+                  if (*alive) {
+                    OnConnectSlow(address, number);
+                  }
+                });
     link.connection =
         Http2Connection::New(loop_.raw(), Http2Connection::Role::kClient,
                              std::move(events), traffic_);
@@ -280,6 +284,14 @@
     }
   }
 
+  void OnConnectSlow(const std::string& address, std::uint64_t number) {
+    Link& link = links_[address];
+    if (link.number == number && !link.connected && !link.waiting.empty()) {
+      link.reopen = true;
+      link.connection->Close();
+    }
+  }
+
   void OnAnswer(const std::string& address,
                 std::int32_t stream,
                 const Http2Message& message) {
@@ -306,7 +318,8 @@
     if (link.reopen) {
       Link& again = links_[address];
       again.waiting = std::move(link.waiting);
-      again.connect_patience = 2 * link.connect_patience;
+      again.connect_patience =
+          std::min(2 * link.connect_patience, kMostConnectPatience);
       Open(address, again);
       return;
     }
@@ -345,6 +358,7 @@
   std::unordered_map<CallId, PendingCall> calls_;
   std::set<std::string> cut_;
   CallId next_call_ = 1;
+  std::uint64_t opened_ = 0;
   PeerTraffic traffic_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
