--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -109,7 +109,9 @@
 void SearchEngine::StartFanOut(Instant now, SearchRun& search) {
   search.phase = SearchPhase::kFanOut;
   const RequestId id = search.request().id;
-  actions_.reserve(actions_.size() + search.parts().size());
+  if (actions_.empty()) {
+    actions_.reserve(search.parts().size());
+  }
   // A part can end its search, or start it over on another snapshot.
   SearchRun* left = &search;
   for (std::size_t i = 0; left != nullptr && i < left->parts().size(); ++i) {
