Test the end of a loop with a task that does own a handle

Cause: the mutation posted-tasks passed its test: since the client is our own, its posted tasks own no handle of the loop, so the test had lost its point. Change: the posted task owns a timer of the loop.

--- a/src/libsnipeworks/event_loop_test.cpp
+++ b/src/libsnipeworks/event_loop_test.cpp
@@ -5,11 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <memory>
 #include <string>
 
 #include <gtest/gtest.h>
 
-#include "snipeworks/http_client.h"
 #include "snipeworks/peer_transport.h"
 #include "test_sockets_test.h"
 
@@ -27,11 +27,9 @@
 
 TEST(EventLoops, GoAwayWithTasksThatOwnTheirHandles) {
   EventLoop loop;
-  HttpClient client(loop);
-  HttpCall call;
-  call.address = "127.0.0.1:1";
-  const HttpCallId id = client.Send(call, [](const HttpCallResult&) {});
-  client.Abort(id);
+  auto timer = std::make_shared<LoopTimer>(loop, [] {});
+  timer->Set(seconds(1));
+  loop.Post([timer] { timer->Set({}); });
 }
 
 TEST(EventLoops, RunTimersInOrder) {
