Keep RocksDB's own log off the disk, so that a full disk does not end a host

RocksDB writes its log file at most every 5 s; on a full disk that write fails, and the next line asserts that the file is not written to any more. Ruled out by tests that fail at each call in turn: the write-ahead file, the manifest, tables, syncs, and opening anew.

Change: warnings of RocksDB go to standard error; no log file is kept.

Tried and dropped: a file system that stops at the first failed write.

--- a/src/include/snipeworks/rocks_log_store.h
+++ b/src/include/snipeworks/rocks_log_store.h
@@ -7,6 +7,10 @@
 #include "snipeworks/consensus_types.h"
 #include "snipeworks/error.h"
 
+namespace rocksdb {
+class FileSystem;
+}
+
 namespace snipeworks {
 
 /// The log's durable storage, in a RocksDB database.
@@ -16,10 +20,14 @@
   /// folder gets a new disk id. A record that was cut off at the very end is
   /// dropped; any other damage fails with kInternal, and the host must not
   /// count as a voter with what is left. A blank folder gets `blank_disk_id`
-  /// if one is given.
+  /// if one is given. `disk` takes the place of the default file system.
+  ///
+  /// Once a write has failed, every later one fails too, and the disk is not
+  /// touched again until the folder is opened anew.
   static Result<std::unique_ptr<RocksLogStore>> Open(
       const std::string& folder,
-      const std::string& blank_disk_id = "");
+      const std::string& blank_disk_id = "",
+      std::shared_ptr<rocksdb::FileSystem> disk = nullptr);
 
   ~RocksLogStore() override;
 
--- a/src/libsnipeworks/rocks_log_store.cpp
+++ b/src/libsnipeworks/rocks_log_store.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/rocks_log_store.h"
 
 #include <array>
+#include <cstdarg>
 #include <cstdio>
 #include <filesystem>
 #include <random>
@@ -8,6 +9,8 @@
 
 #include <glog/logging.h>
 #include <rocksdb/db.h>
+#include <rocksdb/env.h>
+#include <rocksdb/file_system.h>
 #include <rocksdb/write_batch.h>
 
 namespace snipeworks {
@@ -39,8 +42,24 @@
   return text.data();
 }
 
+// RocksDB keeps a log file beside the database unless told otherwise. It
+// asserts that nothing is written to a file after a write to it has failed, its
+// own log included, and so would end the process when the disk is full.
+class StoreLogger : public rocksdb::Logger {
+ public:
+  StoreLogger() : Logger(rocksdb::InfoLogLevel::WARN_LEVEL) {}
+
+  using Logger::Logv;
+  void Logv(const char* format, va_list arguments) override {
+    std::array<char, 512> text{};
+    std::vsnprintf(text.data(), text.size(), format, arguments);
+    LOG(WARNING) << "event=store_warning text=\"" << text.data() << "\"";
+  }
+};
+
 rocksdb::Options DatabaseOptions() {
   rocksdb::Options options;
+  options.info_log = std::make_shared<StoreLogger>();
   options.create_if_missing = true;
   options.paranoid_checks = true;
   // A record cut off at the end was never acknowledged; damage before the end
@@ -52,7 +71,6 @@
   options.allow_mmap_reads = false;
   options.allow_mmap_writes = false;
   options.compression = rocksdb::kNoCompression;
-  options.keep_log_file_num = 2;
   return options;
 }
 
@@ -66,13 +84,17 @@
 class RocksLogStore::Impl {
  public:
   Result<void> Open(const std::string& folder,
-                    const std::string& blank_disk_id) {
+                    const std::string& blank_disk_id,
+                    const std::shared_ptr<rocksdb::FileSystem>& disk) {
     blank_disk_id_ = blank_disk_id;
+    environment_ = rocksdb::NewCompositeEnv(disk);
     std::error_code error;
     std::filesystem::create_directories(folder, error);
     rocksdb::DB* raw = nullptr;
+    rocksdb::Options options = DatabaseOptions();
+    options.env = environment_.get();
     const rocksdb::Status opened =
-        rocksdb::DB::Open(DatabaseOptions(), folder + "/log", &raw);
+        rocksdb::DB::Open(options, folder + "/log", &raw);
     if (!opened.ok()) {
       return Fault(folder, opened.ToString());
     }
@@ -211,6 +233,7 @@
     return {};
   }
 
+  std::unique_ptr<rocksdb::Env> environment_;  // Outlives the database.
   std::unique_ptr<rocksdb::DB> database_;
   std::string blank_disk_id_;
   StoredLog stored_;
@@ -224,9 +247,13 @@
 
 Result<std::unique_ptr<RocksLogStore>> RocksLogStore::Open(
     const std::string& folder,
-    const std::string& blank_disk_id) {
+    const std::string& blank_disk_id,
+    std::shared_ptr<rocksdb::FileSystem> disk) {
+  if (disk == nullptr) {
+    disk = rocksdb::FileSystem::Default();
+  }
   auto impl = std::make_unique<Impl>();
-  if (Result<void> opened = impl->Open(folder, blank_disk_id); !opened) {
+  if (Result<void> opened = impl->Open(folder, blank_disk_id, disk); !opened) {
     return tl::unexpected(opened.error());
   }
   return std::unique_ptr<RocksLogStore>(new RocksLogStore(std::move(impl)));
