Bound what answers may take, and read times to come back strictly

Cause: an answer could grow to 8 MiB on each of over a hundred calls of a host of 160 MB; heads, chunk extensions, trailers, interim answers and answers to other calls were bounded by the call's timeout alone. Retry-After went through strtod: nan passed min and max and was cast to an integer. Keep-Alive's timeout overflowed the clock.

Change: an answer is given up at 8 MiB read or 64 answers passed over, the largest one when all of them hold 32 MiB; counted in snipeworks_target_answers_too_large; the target counts as after other failures. Retry-After is a finite number of seconds or nothing, an hour at most; it is read from every 503. A gateway can take back what it has not sent.

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -110,7 +110,10 @@
   std::shared_ptr<const TargetAnswer> answer;
   std::optional<ReportedLoad> load;  ///< As the answer tells it.
   Duration queue_time{};             ///< Time in the target's own queue.
-  Duration retry_after{};            ///< With kShed.
+  /// The target wants nothing from this host for so long.
+  Duration retry_after{};
+  /// The target takes no new work from now on, whatever else it answered.
+  bool leaving = false;
 
   friend bool operator==(const AttemptOutcome&,
                          const AttemptOutcome&) = default;
--- a/src/include/snipeworks/edge_names.h
+++ b/src/include/snipeworks/edge_names.h
@@ -18,6 +18,9 @@
   std::string signature = "Snipe-Signature";
   /// In a target's refusal: the request was not run.
   std::string not_run = "Snipe-Not-Run";
+  /// In any answer of a target: `leaving_value` if it takes no new work.
+  std::string leaving = "Snipe-Leaving";
+  std::string leaving_value = "1";
   /// Requests running and waiting at a target, and its slots, with commas.
   std::string load = "Snipe-Load";
   /// Signatures of the parts in an answer over all shards, with commas.
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -7,6 +7,7 @@
 
 #include "snipeworks/attempt.h"
 #include "snipeworks/error.h"
+#include "snipeworks/http_client.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/search.h"
 
@@ -27,6 +28,7 @@
   std::size_t control_hosts = 0;  ///< That answered lately.
   std::size_t connections = 0;    ///< Of callers.
   PeerTraffic peers;
+  HttpClientTraffic targets_traffic;
 };
 
 /// The metrics of an entry host, in Prometheus' text form. Thread-safe.
--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -25,6 +25,9 @@
 
   void Start(const AttemptCommand& command);
   void Cancel(AttemptId attempt);
+  /// Takes back the attempts for `target` that wait for a connection; each ends
+  /// as not sent.
+  void Withdraw(const std::string& target);
 
   /// At most `share` connections to `address`.
   void SetShare(const std::string& address, std::uint32_t share);
@@ -32,10 +35,15 @@
   const HttpClientTraffic& traffic() const { return client_.traffic(); }
 
  private:
+  struct Running {
+    HttpCallId call = 0;
+    std::string target;
+  };
+
   const ForwardNames& names_;
   HttpClient client_;
   OnOutcome on_outcome_;
-  std::unordered_map<AttemptId, HttpCallId> running_;
+  std::unordered_map<AttemptId, Running> running_;
   StringMap<std::uint32_t> shares_;
 };
 
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -1,9 +1,12 @@
 #ifndef SNIPEWORKS_HTTP_CLIENT_H_
 #define SNIPEWORKS_HTTP_CLIENT_H_
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +53,8 @@
   kNotSent,  ///< No connection; no byte of the request was sent.
   kLost,     ///< Sent, then the connection broke.
   kTimeout,  ///< Sent, and no answer within the call's timeout.
+  /// Sent, and what came back was more than the client holds.
+  kTooLarge,
   kAborted,
 };
 
@@ -59,7 +64,9 @@
   int http_status = 0;
   std::vector<HttpHeader> headers;
   std::string body;
-  double retry_after_s = 0.0;  ///< The Retry-After header, 0 without one.
+  /// What Retry-After says in seconds; nothing if it is absent or says
+  /// anything else.
+  std::optional<Duration> retry_after;
   /// True if the call went out on a connection that had been used before.
   bool reused_connection = false;
 
@@ -69,11 +76,24 @@
   }
 };
 
+/// How much of the answers that are on their way a client holds.
+struct HttpClientLimits {
+  /// Of one answer, in bytes: headers, body and whatever is passed over.
+  std::size_t answer_bytes = std::size_t{8} * 1024 * 1024;
+  /// Of all of them together, in bytes of memory; the largest one is given up
+  /// first. A fifth of the 160 MB that the smallest hosts have.
+  std::size_t held_bytes = std::size_t{32} * 1024 * 1024;
+
+  friend auto operator<=>(const HttpClientLimits&,
+                          const HttpClientLimits&) = default;
+};
+
 /// Counters of a client since its start.
 struct HttpClientTraffic {
   std::uint64_t calls = 0;
   std::uint64_t connections_opened = 0;
   std::uint64_t connections_failed = 0;
+  std::uint64_t answers_too_large = 0;
 };
 
 /// An HTTP/1.1 client on the event loop, with a limited pool of connections to
@@ -83,7 +103,7 @@
  public:
   using Done = std::function<void(HttpCallResult&&)>;
 
-  explicit HttpClient(EventLoop& loop);
+  explicit HttpClient(EventLoop& loop, HttpClientLimits limits = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -92,6 +112,8 @@
   HttpCallId Send(HttpCall call, Done done);
   /// Gives a call up and closes its connection; its `done` runs with kAborted.
   void Abort(HttpCallId call);
+  /// Gives a call up if no byte of it was sent; its `done` runs with kNotSent.
+  void AbortUnsent(HttpCallId call);
 
   /// At most this many connections to `address` at once.
   void SetConnectionLimit(const std::string& address, std::uint32_t limit);
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -123,6 +123,14 @@
   Gauge& connections = OneGauge(registry,
                                 "snipeworks_caller_connections",
                                 "Open connections of callers");
+  Gauge& target_connections =
+      OneGauge(registry,
+               "snipeworks_target_connections_opened",
+               "Connections opened to targets since the start");
+  Gauge& answers_too_large =
+      OneGauge(registry,
+               "snipeworks_target_answers_too_large",
+               "Answers of targets that were given up for their size");
   Gauge& sent = OneGauge(registry,
                          "snipeworks_peer_sent_bytes",
                          "Bytes sent to other hosts of the system");
@@ -189,6 +197,10 @@
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
   impl_->connections.Set(static_cast<double>(gauges.connections));
+  impl_->target_connections.Set(
+      static_cast<double>(gauges.targets_traffic.connections_opened));
+  impl_->answers_too_large.Set(
+      static_cast<double>(gauges.targets_traffic.answers_too_large));
   impl_->sent.Set(static_cast<double>(gauges.peers.bytes_sent));
   impl_->received.Set(static_cast<double>(gauges.peers.bytes_received));
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kMisdirectedStatus = 421;
+constexpr int kUnavailableStatus = 503;
 // The target's own deadline comes first.
 constexpr Duration kRunMargin = milliseconds(100);
 // A target that is there accepts within a few milliseconds; one that does not
@@ -23,12 +24,6 @@
 // one that its target has just given up would leave open whether it ran.
 constexpr Duration kFreshEnough = milliseconds(500);
 
-Duration SecondsToDuration(double seconds) {
-  constexpr double kMostSeconds = 60.0;
-  return Duration(static_cast<std::int64_t>(
-      std::min(std::max(seconds, 0.0), kMostSeconds) * 1e6));
-}
-
 std::uint64_t LengthOf(const HttpCallResult& result) {
   const std::string_view text = result.Header("Content-Length");
   std::uint64_t length = result.body.size();
@@ -68,7 +63,7 @@
     call.max_idle = kFreshEnough;
   }
   call.echo = {names_.request_id, request.request_id};
-  running_[command.id] = client_.Send(
+  const HttpCallId sent = client_.Send(
       std::move(call), [this, id = command.id, snapshot = command.snapshot,
                         part = command.part](HttpCallResult&& result) {
         running_.erase(id);
@@ -77,12 +72,21 @@
         outcome.part = part;
         on_outcome_(id, outcome);
       });
+  running_[command.id] = {sent, command.target};
 }
 
 void ForwardGateway::Cancel(AttemptId attempt) {
   auto found = running_.find(attempt);
   if (found != running_.end()) {
-    client_.Abort(found->second);
+    client_.Abort(found->second.call);
+  }
+}
+
+void ForwardGateway::Withdraw(const std::string& target) {
+  for (const auto& [attempt, running] : running_) {
+    if (running.target == target) {
+      client_.AbortUnsent(running.call);
+    }
   }
 }
 
@@ -95,13 +99,18 @@
     return outcome;
   }
   outcome.load = ParseLoad(result.Header(names.load));
+  outcome.leaving = result.Header(names.leaving) == names.leaving_value;
   if (result.http_status == kMisdirectedStatus) {
     outcome.status = AttemptStatus::kWrongTarget;
     return outcome;
   }
-  if (!result.Header(names.not_run).empty()) {
+  // The time binds also where nothing proves that the request was not run.
+  const bool not_run = !result.Header(names.not_run).empty();
+  if (not_run || result.http_status == kUnavailableStatus) {
+    outcome.retry_after = result.retry_after.value_or(Duration{});
+  }
+  if (not_run) {
     outcome.status = AttemptStatus::kShed;
-    outcome.retry_after = SecondsToDuration(result.retry_after_s);
     return outcome;
   }
   auto answer = std::make_shared<TargetAnswer>();
--- /dev/null
+++ b/src/libsnipeworks/forward_gateway_test.cpp
@@ -0,0 +1,99 @@
+#include "snipeworks/forward_gateway.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "test_sockets_test.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+HttpCallResult Answered(int status, std::vector<HttpHeader> headers) {
+  HttpCallResult result;
+  result.status = HttpCallStatus::kAnswered;
+  result.http_status = status;
+  result.headers = std::move(headers);
+  return result;
+}
+
+TEST(ForwardOutcomes, TellThatATargetLeavesWhateverItAnswers) {
+  const ForwardNames names;
+  for (int status : {200, 404, 500, 503}) {
+    EXPECT_TRUE(ForwardOutcomeOf(Answered(status, {{"Snipe-Signature", "s"},
+                                                   {"Snipe-Leaving", "1"}}),
+                                 names)
+                    .leaving)
+        << status;
+  }
+  for (const char* other : {"0", "", "soon"}) {
+    EXPECT_FALSE(
+        ForwardOutcomeOf(Answered(200, {{"Snipe-Leaving", other}}), names)
+            .leaving)
+        << other;
+  }
+}
+
+TEST(ForwardOutcomes, TakeTheTimeToComeBackAlsoWithoutAProof) {
+  const ForwardNames names;
+  HttpCallResult refused = Answered(503, {});
+  refused.retry_after = seconds(2);
+  AttemptOutcome outcome = ForwardOutcomeOf(refused, names);
+  EXPECT_EQ(outcome.status, AttemptStatus::kFailed);
+  EXPECT_EQ(outcome.retry_after, seconds(2));
+  refused.headers = {{"Snipe-Not-Run", "1"}};
+  outcome = ForwardOutcomeOf(refused, names);
+  EXPECT_EQ(outcome.status, AttemptStatus::kShed);
+  EXPECT_EQ(outcome.retry_after, seconds(2));
+}
+
+// The only connection is taken; what waits for it has not been sent.
+TEST(ForwardGateways, WithdrawWhatWaitsForAConnection) {
+  const ForwardNames names;
+  int read = 0;
+  {
+    const ScriptedServer server({[&](const Socket& socket) {
+      while (!socket.ReadUntil("\r\n\r\n").empty()) {
+        ++read;
+      }
+    }});
+    EventLoop loop;
+    std::vector<std::pair<AttemptId, AttemptStatus>> ended;
+    ForwardGateway gateway(loop, names,
+                           [&](AttemptId id, const AttemptOutcome& outcome) {
+                             ended.emplace_back(id, outcome.status);
+                             if (ended.size() == 2) {
+                               loop.Stop();
+                             }
+                           });
+    gateway.SetShare(server.address(), 1);
+    auto message = std::make_shared<SharedRequest>();
+    message->head = "GET / HTTP/1.1\r\n";
+    auto request = std::make_shared<ForwardedRequest>();
+    request->message = message;
+    for (AttemptId id : {AttemptId{1}, AttemptId{2}}) {
+      AttemptCommand command;
+      command.id = id;
+      command.target = "t1";
+      command.address = server.address();
+      command.budget = seconds(5);
+      command.forwarded = request;
+      gateway.Start(command);
+    }
+    loop.After(milliseconds(30), [&] { gateway.Withdraw("t1"); });
+    loop.After(milliseconds(60), [&] { gateway.Cancel(1); });
+    loop.Run();
+    EXPECT_EQ(ended, (std::vector<std::pair<AttemptId, AttemptStatus>>{
+                         {2, AttemptStatus::kNotSent},
+                         {1, AttemptStatus::kCancelled}}));
+  }
+  EXPECT_EQ(read, 1);
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <unordered_map>
 #include <utility>
 
@@ -30,15 +29,18 @@
 // Bytes that are not acknowledged for this long break a connection.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr Duration kSweepInterval = milliseconds(500);
-// An answer without end must not take the host's memory.
-constexpr std::size_t kMaxAnswerBytes = std::size_t{8} * 1024 * 1024;
+// Interim answers and late copies of answers to earlier calls are few.
+constexpr int kMaxPassedOver = 64;
+// What a header takes beside its text.
+constexpr std::size_t kHeaderOverhead = sizeof(HttpHeader);
 
 }  // namespace
 
 class HttpClient::Impl {
  public:
-  explicit Impl(EventLoop& loop)
+  Impl(EventLoop& loop, HttpClientLimits limits)
       : loop_(loop),
+        limits_(limits),
         timer_(loop, [this] { FireTimers(); }),
         sweep_(loop, [this] { Sweep(); }) {
     http_parser_settings_init(&callbacks_);
@@ -53,8 +55,10 @@
       if (headers.empty() || connection.value_seen) {
         headers.emplace_back();
         connection.value_seen = false;
+        Hold(connection, kHeaderOverhead);
       }
       headers.back().name.append(at, size);
+      Hold(connection, size);
       return 0;
     };
     callbacks_.on_header_value = [](http_parser* parser, const char* at,
@@ -62,6 +66,7 @@
       HttpConnection& connection = Of(parser);
       connection.value_seen = true;
       connection.transfer->result.headers.back().value.append(at, size);
+      Hold(connection, size);
       return 0;
     };
     callbacks_.on_headers_complete = [](http_parser* parser) {
@@ -74,8 +79,10 @@
     callbacks_.on_body = [](http_parser* parser, const char* at,
                             std::size_t size) {
       std::string& body = Of(parser).transfer->result.body;
+      const std::size_t before = body.capacity();
       body.append(at, size);
-      return body.size() > kMaxAnswerBytes ? 1 : 0;
+      Hold(Of(parser), body.capacity() - before);
+      return 0;
     };
     callbacks_.on_message_complete = [](http_parser* parser) {
       return OnMessage(Of(parser));
@@ -116,6 +123,14 @@
     }
   }
 
+  void AbortUnsent(HttpCallId id) {
+    auto found = transfers_.find(id);
+    if (found != transfers_.end() && (found->second.connection == nullptr ||
+                                      !found->second.connection->sent)) {
+      EndLater(found->second, HttpCallStatus::kNotSent);
+    }
+  }
+
   void SetLimit(const std::string& address, std::uint32_t limit) {
     HttpRoute& route = RouteOf(address);
     route.limit = std::max(1U, limit);
@@ -157,22 +172,37 @@
     return *static_cast<Impl*>(connection.owner);
   }
 
+  static void Hold(HttpConnection& connection, std::size_t bytes) {
+    connection.transfer->held += bytes;
+    OwnerOf(connection).held_ += bytes;
+  }
+
+  void Release(HttpTransfer& transfer) {
+    held_ -= std::exchange(transfer.held, 0);
+  }
+
   static void ResetResult(HttpConnection& connection) {
     connection.value_seen = false;
+    OwnerOf(connection).Release(*connection.transfer);
     HttpCallResult& result = connection.transfer->result;
     result.headers.clear();
     result.headers.reserve(12);
     result.body.clear();
   }
 
+  // Returns 0 to read on, unless there is no end to what is passed over.
+  static int PassOver(HttpTransfer& transfer) {
+    return ++transfer.passed_over > kMaxPassedOver ? 1 : 0;
+  }
+
   // Returns 0 to read on: after an interim answer, or one to another call.
   static int OnMessage(HttpConnection& connection) {
     const int status = static_cast<int>(connection.parser.status_code);
     const bool interim = status >= 100 && status < 200 && status != 101;
+    HttpTransfer& transfer = *connection.transfer;
     if (interim) {
-      return 0;
+      return PassOver(transfer);
     }
-    const HttpTransfer& transfer = *connection.transfer;
     if (!http_should_keep_alive(&connection.parser)) {
       connection.reusable = false;
     }
@@ -180,10 +210,10 @@
     if (!echo.name.empty()) {
       const std::string_view value = transfer.result.Header(echo.name);
       if (!value.empty() && value != echo.value) {
-        LOG_EVERY_N(WARNING, 100)
+        LOG_EVERY_T(WARNING, 1)
             << "event=answer_of_another_call address=" << transfer.call.address;
         connection.reusable = false;
-        return 0;
+        return PassOver(transfer);
       }
     }
     connection.complete = true;
@@ -348,17 +378,39 @@
       Close(connection);
       return;
     }
+    HttpTransfer& transfer = *connection.transfer;
+    transfer.received += bytes.size();
     const std::size_t used = http_parser_execute(
         &connection.parser, &callbacks_, bytes.data(), bytes.size());
-    if (connection.complete) {
+    const bool too_large = transfer.received > limits_.answer_bytes ||
+                           transfer.passed_over > kMaxPassedOver;
+    if (connection.complete && !too_large) {
       http_parser_pause(&connection.parser, 0);
       const bool extra = used < bytes.size();
       Finish(connection, extra);
       return;
     }
-    if (HTTP_PARSER_ERRNO(&connection.parser) != HPE_OK) {
+    if (too_large) {
+      GiveUpAnswer(transfer);
+    } else if (HTTP_PARSER_ERRNO(&connection.parser) != HPE_OK) {
       Fail(connection);
     }
+    while (held_ > limits_.held_bytes) {
+      GiveUpAnswer(
+          std::ranges::max_element(transfers_, {}, [](const auto& entry) {
+            return entry.second.held;
+          })->second);
+    }
+  }
+
+  // A target that sends without end must take neither the memory of this host
+  // nor the turns of others: what it sends is not read on.
+  void GiveUpAnswer(HttpTransfer& transfer) {
+    ++traffic_.answers_too_large;
+    LOG_EVERY_T(WARNING, 1)
+        << "event=answer_too_large address=" << transfer.call.address
+        << " received=" << transfer.received << " held=" << held_;
+    EndLater(transfer, HttpCallStatus::kTooLarge);
   }
 
   // An answer without a length ends with its connection, if that was closed in
@@ -382,8 +434,7 @@
     HttpCallResult& result = transfer.result;
     result.status = HttpCallStatus::kAnswered;
     result.http_status = static_cast<int>(connection.parser.status_code);
-    result.retry_after_s =
-        std::strtod(std::string(result.Header("Retry-After")).c_str(), nullptr);
+    result.retry_after = ParseRetryAfter(result.Header("Retry-After"));
     connection.transfer = nullptr;
     transfer.connection = nullptr;
     HttpRoute& route = *connection.route;
@@ -444,6 +495,7 @@
   void Report(HttpCallId id) {
     auto node = transfers_.extract(id);
     if (!node.empty()) {
+      Release(node.mapped());
       node.mapped().done(std::move(node.mapped().result));
     }
   }
@@ -451,6 +503,7 @@
   // For ends that come out of a caller's own call: `done` runs from the loop.
   void EndLater(HttpTransfer& transfer, HttpCallStatus status) {
     transfer.result.status = status;
+    Release(transfer);
     if (HttpConnection* connection =
             std::exchange(transfer.connection, nullptr)) {
       connection->transfer = nullptr;
@@ -507,6 +560,8 @@
   }
 
   EventLoop& loop_;
+  HttpClientLimits limits_;
+  std::size_t held_ = 0;  ///< Memory that answers on their way take.
   http_parser_settings callbacks_{};
   StringMap<HttpRoute> routes_;
   std::vector<HttpConnection*> connections_;
@@ -519,7 +574,8 @@
   LoopTimer sweep_;
 };
 
-HttpClient::HttpClient(EventLoop& loop) : impl_(std::make_unique<Impl>(loop)) {}
+HttpClient::HttpClient(EventLoop& loop, HttpClientLimits limits)
+    : impl_(std::make_unique<Impl>(loop, limits)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -531,6 +587,10 @@
   impl_->Abort(call);
 }
 
+void HttpClient::AbortUnsent(HttpCallId call) {
+  impl_->AbortUnsent(call);
+}
+
 void HttpClient::SetConnectionLimit(const std::string& address,
                                     std::uint32_t limit) {
   impl_->SetLimit(address, limit);
--- a/src/libsnipeworks/http_client_state.cpp
+++ b/src/libsnipeworks/http_client_state.cpp
@@ -3,7 +3,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdlib>
+#include <charconv>
+#include <cmath>
 
 namespace snipeworks {
 
@@ -16,6 +17,9 @@
 constexpr Duration kKeepAliveMargin = milliseconds(500);
 // For servers that do not say how long they keep an idle connection.
 constexpr Duration kDefaultKeepAlive = std::chrono::seconds(30);
+// Longer times are taken for this: the clock's type must not overflow, and a
+// target that asks for more is as good as gone.
+constexpr std::uint64_t kLongestSeconds = 3600;
 
 }  // namespace
 
@@ -73,13 +77,38 @@
 }
 
 Duration KeepAliveOf(const HttpCallResult& result) {
-  const std::string text(result.Header("Keep-Alive"));
-  const auto at = text.find("timeout=");
-  if (at == std::string::npos) {
+  constexpr std::string_view kTimeoutField = "timeout=";
+  const std::string_view text = result.Header("Keep-Alive");
+  const auto at = text.find(kTimeoutField);
+  if (at == std::string_view::npos) {
     return kDefaultKeepAlive;
   }
-  const long seconds = std::strtol(text.c_str() + at + 8, nullptr, 10);
-  return std::chrono::seconds(seconds) - kKeepAliveMargin;
+  std::uint64_t seconds = 0;
+  const char* const first = text.data() + at + kTimeoutField.size();
+  const auto [end, fault] =
+      std::from_chars(first, text.data() + text.size(), seconds);
+  if (fault == std::errc::invalid_argument) {
+    return Duration{};  // Negative, or no number.
+  }
+  const bool huge = fault == std::errc::result_out_of_range;
+  const std::uint64_t kept =
+      huge ? kLongestSeconds : std::min(seconds, kLongestSeconds);
+  return std::chrono::seconds(kept) - kKeepAliveMargin;
+}
+
+std::optional<Duration> ParseRetryAfter(std::string_view text) {
+  double seconds = 0.0;
+  const auto [end, fault] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  const bool whole = end == text.data() + text.size();
+  if (fault == std::errc::result_out_of_range && whole && text[0] != '-') {
+    seconds = static_cast<double>(kLongestSeconds);
+  } else if (fault != std::errc() || !whole || !std::isfinite(seconds) ||
+             seconds < 0.0) {
+    return std::nullopt;
+  }
+  seconds = std::min(seconds, static_cast<double>(kLongestSeconds));
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/http_client_state.h
+++ b/src/libsnipeworks/http_client_state.h
@@ -7,7 +7,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "snipeworks/clock.h"
@@ -29,6 +31,9 @@
   Instant ends{};          ///< When the whole call is given up.
   Instant connect_ends{};  ///< When a connection that is not there is.
   HttpCallResult result;
+  std::size_t received = 0;  ///< Bytes read for it, parsed or passed over.
+  int passed_over = 0;       ///< Interim answers and those to other calls.
+  std::size_t held = 0;      ///< Memory that `result` takes, about.
 };
 
 /// The way to one address.
@@ -84,6 +89,10 @@
 /// How long a connection may be kept for another call after `result`.
 Duration KeepAliveOf(const HttpCallResult& result);
 
+/// Reads a Retry-After of seconds, fractions included, an hour at most. Nothing
+/// for a date, a negative time or what is no number.
+std::optional<Duration> ParseRetryAfter(std::string_view text);
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_LIBSNIPEWORKS_HTTP_CLIENT_STATE_H_
--- a/src/libsnipeworks/http_client_test.cpp
+++ b/src/libsnipeworks/http_client_test.cpp
@@ -1,6 +1,8 @@
 #include "snipeworks/http_client.h"
 
+#include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -189,5 +191,246 @@
   EXPECT_EQ(rest, "");
 }
 
+// Sends `bytes` again and again until the caller closes or a second is over;
+// returns how much the caller took.
+std::size_t SendWithoutEnd(const Socket& socket, const std::string& bytes) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  std::size_t taken = 0;
+  while (std::chrono::steady_clock::now() < end && socket.TrySend(bytes)) {
+    taken += bytes.size();
+  }
+  return taken;
+}
+
+struct Endless {
+  std::string name;
+  std::string begin;
+  std::string again;
+};
+
+class EndlessAnswers : public ::testing::TestWithParam<Endless> {};
+
+TEST_P(EndlessAnswers, AreGivenUpWhenTheyAreTooLarge) {
+  constexpr std::size_t kLimit = std::size_t{256} * 1024;
+  std::size_t taken = 0;
+  Duration took{};
+  {
+    const ScriptedServer server({[&](const Socket& socket) {
+      AnswerOnce(socket, GetParam().begin);
+      taken = SendWithoutEnd(socket, GetParam().again);
+    }});
+    EventLoop loop;
+    HttpClient client(loop, {kLimit, kLimit});
+    HttpCall call;
+    call.address = server.address();
+    call.method = "GET";
+    call.path = "/";
+    call.echo = {"Id", "mine"};
+    const Instant started = MonotonicNow();
+    client.Send(call, [&](const HttpCallResult& result) {
+      EXPECT_TRUE(result.status == HttpCallStatus::kTooLarge ||
+                  result.status == HttpCallStatus::kLost);
+      took = MonotonicNow() - started;
+      loop.Stop();
+    });
+    loop.Run();
+  }
+  EXPECT_LT(took, milliseconds(500));
+  // What the sockets hold comes on top.
+  EXPECT_LT(taken, kLimit + std::size_t{8} * 1024 * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes,
+    EndlessAnswers,
+    testing::Values(
+        Endless{"InAHead", "HTTP/1.1 200 OK\r\n",
+                "X: " + std::string(500, 'x') + "\r\n"},
+        Endless{"InOneHeader", "HTTP/1.1 200 OK\r\nX: ", std::string(500, 'x')},
+        Endless{"InABody", "HTTP/1.1 200 OK\r\n\r\n", std::string(500, 'x')},
+        Endless{"InChunks",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "1\r\nx\r\n"},
+        Endless{"InAChunkExtension",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                std::string(500, 'x')},
+        Endless{"InTrailers",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "X: " + std::string(500, 'x') + "\r\n"},
+        Endless{"AsInterimAnswers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        Endless{"AsAnswersToOthers", "",
+                "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"},
+        Endless{"ThatAreNoAnswer", "", std::string(500, 'x')}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(HttpClients, HoldNoMoreOfAllAnswersThanTheirBudget) {
+  constexpr std::size_t kAnswer = std::size_t{1024} * 1024;
+  constexpr std::size_t kBudget = std::size_t{2} * 1024 * 1024;
+  constexpr int kServers = 6;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  for (int i = 0; i < kServers; ++i) {
+    // Just under the limit of one answer, and then nothing more.
+    servers.push_back(std::make_unique<ScriptedServer>(
+        std::vector<ScriptedServer::Script>{[](const Socket& socket) {
+          AnswerOnce(socket, "HTTP/1.1 200 OK\r\n\r\n" +
+                                 std::string(kAnswer - 1000, 'x'));
+          socket.ReadAll();
+        }}));
+  }
+  EventLoop loop;
+  HttpClient client(loop, {kAnswer, kBudget});
+  int too_large = 0;
+  int waiting = 0;
+  for (const auto& server : servers) {
+    HttpCall call;
+    call.address = server->address();
+    call.method = "GET";
+    call.path = "/";
+    call.timeout = milliseconds(700);
+    client.Send(call, [&](const HttpCallResult& result) {
+      (result.status == HttpCallStatus::kTooLarge ? too_large : waiting) += 1;
+      if (too_large + waiting == kServers) {
+        loop.Stop();
+      }
+    });
+  }
+  loop.Run();
+  EXPECT_GE(too_large, kServers - 2);
+  EXPECT_EQ(client.traffic().answers_too_large,
+            static_cast<std::uint64_t>(too_large));
+}
+
+HttpCallResult AnswerWith(const std::string& headers) {
+  const ScriptedServer server({[&](const Socket& socket) {
+    AnswerOnce(socket,
+               "HTTP/1.1 503 No\r\nContent-Length: 0\r\n" + headers + "\r\n");
+  }});
+  return CallInTurn(server.address(), 1)[0];
+}
+
+TEST(HttpClients, ReadATimeToComeBackInSeconds) {
+  EXPECT_EQ(AnswerWith("").retry_after, std::nullopt);
+  EXPECT_EQ(AnswerWith("Retry-After: 2\r\n").retry_after, milliseconds(2000));
+  EXPECT_EQ(AnswerWith("Retry-After: 0.25\r\n").retry_after, milliseconds(250));
+  EXPECT_EQ(AnswerWith("Retry-After: 1e18\r\n").retry_after,
+            std::chrono::hours(1));
+  EXPECT_EQ(AnswerWith("Retry-After: 1e999\r\n").retry_after,
+            std::chrono::hours(1));
+  for (const char* text : {"", "nan", "inf", "-1", "-1e999", "soon", "2s",
+                           "1,5", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    EXPECT_EQ(
+        AnswerWith(std::string("Retry-After: ") + text + "\r\n").retry_after,
+        std::nullopt)
+        << text;
+  }
+}
+
+TEST(HttpClients, KeepConnectionsForNoLongerThanTheClockCanTell) {
+  const auto reused = [](const std::string& keep_alive) {
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: " + keep_alive +
+        "\r\n\r\nok";
+    const ScriptedServer server(
+        {[&](const Socket& socket) {
+           AnswerOnce(socket, answer);
+           AnswerOnce(socket, answer);
+         },
+         [&](const Socket& socket) { AnswerOnce(socket, answer); }});
+    return CallInTurn(server.address(), 2)[1].reused_connection;
+  };
+  EXPECT_TRUE(reused("timeout=5"));
+  EXPECT_TRUE(reused("timeout=9223372036854775807"));
+  EXPECT_TRUE(reused("timeout=99999999999999999999999999"));
+  EXPECT_FALSE(reused("timeout=0"));
+  EXPECT_FALSE(reused("timeout=-9223372036854775808"));
+  EXPECT_FALSE(reused("timeout=soon"));
+}
+
+// Where an answer says how long it is, no part of it passes for the whole.
+TEST(HttpClients, LoseAnAnswerThatIsCutAtAnyByte) {
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nT: t\r\n\r\n"};
+  for (const std::string& whole : answers) {
+    for (const bool reset : {false, true}) {
+      std::vector<ScriptedServer::Script> scripts;
+      for (std::size_t size = 0; size <= whole.size(); ++size) {
+        scripts.emplace_back([&whole, size, reset](Socket socket) {
+          AnswerOnce(socket, whole.substr(0, size));
+          if (reset && size < whole.size()) {
+            socket.Reset();
+          }
+        });
+      }
+      const ScriptedServer server(std::move(scripts));
+      HttpCall fresh;
+      fresh.fresh_connection = true;
+      const auto results =
+          CallInTurn(server.address(), whole.size() + 1, fresh);
+      for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_EQ(results[size].status, HttpCallStatus::kLost) << size;
+      }
+      EXPECT_EQ(results.back().status, HttpCallStatus::kAnswered);
+      EXPECT_EQ(results.back().body, "body");
+    }
+  }
+}
+
+// A body after the answer to HEAD looks like the next answer, or like nothing.
+TEST(HttpClients, TakeNoBodyOfAnAnswerToHeadForTheNextAnswer) {
+  const ScriptedServer server(
+      {[](const Socket& socket) {
+         AnswerOnce(socket,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+         EXPECT_EQ(socket.ReadAll(), "");
+       },
+       [](const Socket& socket) { AnswerOnce(socket, kWholeAnswer); }});
+  auto head = std::make_shared<SharedRequest>();
+  head->head = "HEAD / HTTP/1.1\r\n";
+  head->is_head = true;
+  HttpCall call;
+  call.shared = head;
+  const auto results = CallInTurn(server.address(), 2, call);
+  EXPECT_EQ(results[0].body, "");
+  EXPECT_FALSE(results[1].reused_connection);
+}
+
+// The second copy comes while the next call is on its way.
+TEST(HttpClients, PassOverASecondAnswerThatComesLate) {
+  const auto answer = [](const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\n" +
+           body;
+  };
+  const ScriptedServer server({[&](const Socket& socket) {
+    AnswerOnce(socket, answer("first", "1."));
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(answer("first", "1."));
+    socket.Send("HTTP/1.1 103 Early Hints\r\n\r\n");
+    socket.Send(answer("first", "1."));
+    socket.Send(answer("second", "2."));
+    EXPECT_EQ(socket.ReadAll(), "");
+  }});
+  EventLoop loop;
+  HttpClient client(loop);
+  std::vector<std::string> bodies;
+  std::function<void()> next = [&] {
+    HttpCall call;
+    call.address = server.address();
+    call.method = "GET";
+    call.path = "/";
+    call.echo = {"Id", bodies.empty() ? "first" : "second"};
+    client.Send(call, [&](const HttpCallResult& result) {
+      bodies.push_back(result.body);
+      EXPECT_EQ(result.reused_connection, bodies.size() == 2);
+      bodies.size() == 2 ? loop.Stop() : next();
+    });
+  };
+  next();
+  loop.Run();
+  EXPECT_EQ(bodies, (std::vector<std::string>{"1.", "2."}));
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -165,6 +165,8 @@
       return AttemptStatus::kLost;
     case HttpCallStatus::kTimeout:
       return on_timeout;
+    case HttpCallStatus::kTooLarge:
+      return AttemptStatus::kFailed;
     case HttpCallStatus::kAborted:
       return AttemptStatus::kCancelled;
     case HttpCallStatus::kAnswered:
--- a/src/libsnipeworks/test_sockets_test.h
+++ b/src/libsnipeworks/test_sockets_test.h
@@ -63,6 +63,14 @@
     send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends as much of `bytes` as can be sent within two seconds; false if the
+  /// other side has closed.
+  bool TrySend(const std::string& bytes) const {
+    const timeval limit{2, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    return send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+  }
+
   /// Reads up to and with `mark`, or to the end.
   std::string ReadUntil(const std::string& mark) const {
     std::string text;
--- a/src/snipe-load/load_run.cpp
+++ b/src/snipe-load/load_run.cpp
@@ -253,8 +253,8 @@
   if (!plan_.actions || final || MonotonicNow() > request.resend_until) {
     return false;
   }
-  const auto told = Duration(
-      static_cast<std::int64_t>(std::min(result.retry_after_s, 1.0) * 1e6));
+  const Duration told = std::min<Duration>(
+      result.retry_after.value_or(Duration{}), std::chrono::seconds(1));
   ++open_;
   Request again = request;
   again.entry = request.entry + 1;
--- /dev/null
+++ b/testsuite/scripted_target.py
@@ -0,0 +1,99 @@
+"""Targets whose every answer a case decides, on threads of the case's own process."""
+
+import json
+import socket
+import threading
+import time
+
+from fleet import http
+
+
+class ScriptedTarget:
+    """Serves one address. `answer(request_id)` returns the bytes to send; bytes from a
+    generator are sent one after the other until the caller closes."""
+
+    def __init__(self, name, group, zone, address, port, answer):
+        self.name, self.group, self.zone = name, group, zone
+        self.address, self.port, self.answer = address, port, answer
+        self.incarnation = int(time.time() * 1000)
+        self.sequence = 0
+        self.arrivals = []  # When each request came.
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((address, port))
+        self.listener.listen(64)
+        self.closed = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def report(self, control, state="serving", sequence=None):
+        """Reports to one control host; returns the status."""
+        self.sequence += 1
+        return http("POST", f"{control}:8000", f"/v1/targets/{self.name}/report", {
+            "group": self.group, "address": f"{self.address}:{self.port}", "zone": self.zone,
+            "slots": 4, "state": state, "cold_ms": 0, "sequence": sequence or self.sequence,
+            "incarnation": self.incarnation}, timeout=1.0)[0]
+
+    def keep_reporting(self, controls):
+        def loop():
+            while not self.closed:
+                for control in controls:
+                    if self.report(control) == 200:
+                        break
+                time.sleep(0.4)
+        threading.Thread(target=loop, daemon=True).start()
+
+    def close(self):
+        self.closed = True
+        self.listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection):
+        try:
+            with connection:
+                pending = b""
+                while not self.closed:
+                    while b"\r\n\r\n" not in pending:
+                        read = connection.recv(65536)
+                        if not read:
+                            return
+                        pending += read
+                    head, pending = pending.split(b"\r\n\r\n", 1)
+                    self.arrivals.append(time.monotonic())
+                    answer = self.answer(header(head, "snipe-request-id"))
+                    for piece in [answer] if isinstance(answer, bytes) else answer:
+                        connection.sendall(piece)
+        except OSError:
+            pass
+
+
+def header(head, name):
+    for line in head.decode().split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return ""
+
+
+def whole(request_id, group, status="200 OK", more=""):
+    """A whole answer with one record; `more` are lines of headers."""
+    body = b"r" * 16
+    return (f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n"
+            f"Snipe-Request-Id: {request_id}\r\n"
+            f"Snipe-Signature: {group}.{request_id}.scripted\r\n{more}\r\n").encode() + body
+
+
+def json_lines(path):
+    """The JSON lines of a log."""
+    with open(path, encoding="utf-8", errors="replace") as file:
+        for line in file:
+            try:
+                yield json.loads(line)
+            except ValueError:
+                continue  # Glog's own lines.
