One HTTP server for every program, and a stop that cuts off nothing accepted

And a listener that stopped reset what waited in its accept queue or unread on a kept connection: a caller whose request had arrived before the stop got no answer.

StopAccepting takes the accept queue first, leaves connections that have unread bytes or are so new that their first request may be on its way, and shuts the others down in order. Hosts wait for these too before they end. Connections can be limited.

--- a/src/include/snipeworks/http_listener.h
+++ b/src/include/snipeworks/http_listener.h
@@ -25,6 +25,8 @@
   Duration request_timeout = std::chrono::seconds(30);
   /// Without a request on the way.
   Duration idle_timeout = std::chrono::seconds(60);
+  /// Connections beyond this are reset; 0 for no limit.
+  std::size_t max_connections = 0;
 
   friend auto operator<=>(const ListenerLimits&,
                           const ListenerLimits&) = default;
@@ -64,13 +66,18 @@
 
   /// From now on each answer closes its connection.
   void CloseAfterAnswers();
-  /// Accepts no new connection, and closes those that have no request on the
-  /// way.
+  /// Accepts no new connection but those that callers have opened already, and
+  /// closes those that have no request on the way.
   void StopAccepting();
 
   /// Requests that have not been answered.
   std::size_t open_exchanges() const;
+  /// Those, requests that are being read, and connections so new that their
+  /// first request may be on its way.
+  std::size_t unfinished() const;
+  /// Open connections now, and the most there were at once.
   std::size_t connections() const;
+  std::size_t max_connections_seen() const;
 
  private:
   class Impl;
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -3,8 +3,11 @@
 #include <arpa/inet.h>
 #include <http_parser.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <uv.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <unordered_map>
@@ -27,6 +30,9 @@
 // A caller reads the last answer of a connection before it is reset for what
 // it had sent besides.
 constexpr Duration kLinger = milliseconds(1000);
+// A caller sends its first request at once; it is here after a way through the
+// network, a lost packet included.
+constexpr Duration kFirstRequestWait = milliseconds(500);
 constexpr int kBadRequestStatus = 400;
 constexpr int kTimeoutStatus = 408;
 constexpr int kTooLargeStatus = 413;
@@ -113,7 +119,7 @@
       failed = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog,
                          [](uv_stream_t* stream, int status) {
                            if (status == 0) {
-                             static_cast<Impl*>(stream->data)->Accept();
+                             static_cast<Impl*>(stream->data)->AcceptNext();
                            }
                          });
     }
@@ -141,21 +147,31 @@
   void SetLimits(const ListenerLimits& limits) { limits_ = limits; }
   void CloseAfterAnswers() { close_after_answers_ = true; }
 
+  // Closing the listener resets what waits to be accepted, and closing a
+  // connection what waits to be read, so both are taken first.
   void StopAccepting() {
-    StopListening();
-    std::vector<Connection*> idle;
-    for (const auto& [id, connection] : connections_) {
-      if (connection->Idle()) {
-        idle.push_back(connection);
-      }
-    }
-    for (Connection* connection : idle) {
-      Close(*connection);
+    if (listener_ == nullptr) {
+      return;
     }
+    AcceptWaiting();
+    StopListening();
+    stopping_ = true;
+    close_after_answers_ = true;
+    CloseQuiet(MonotonicNow());
   }
 
   std::size_t open_exchanges() const { return exchanges_.size(); }
+  std::size_t unfinished() const {
+    const Instant now = MonotonicNow();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(connections_, [&](const auto& entry) {
+          const Connection& connection = *entry.second;
+          return connection.exchange != 0 || connection.in_request ||
+                 !connection.pending.empty() || connection.MayBeginSoon(now);
+        }));
+  }
   std::size_t connections() const { return connections_.size(); }
+  std::size_t max_connections_seen() const { return max_connections_seen_; }
 
  private:
   // One caller's connection. The parser is the state of the request that is
@@ -178,11 +194,25 @@
     bool is_head = false;
     bool closing = false;
     bool lingering = false;
-    int refused = 0;  // Status for a request that breaks a limit.
-    Instant since{};  // Start of the request, or of the idle time.
+    bool used = false;  // Any byte of a request has come.
+    int refused = 0;    // Status for a request that breaks a limit.
+    Instant since{};    // Start of the request, or of the idle time.
 
     bool Idle() const { return exchange == 0 && !in_request && !lingering; }
 
+    // True if the first request may be on its way.
+    bool MayBeginSoon(Instant now) const {
+      return !used && !lingering && now - since < kFirstRequestWait;
+    }
+
+    bool HasUnread() const {
+      uv_os_fd_t socket = -1;
+      int bytes = 0;
+      return uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle),
+                       &socket) == 0 &&
+             ioctl(socket, FIONREAD, &bytes) == 0 && bytes > 0;
+    }
+
     void OnBegin() {
       request = HttpRequest{};
       header_bytes = 0;
@@ -270,14 +300,14 @@
     }
   }
 
-  void Accept() {
+  // Takes a connection by `take`, which fills a handle of libuv's.
+  template <typename Take>
+  void Accept(const Take& take) {
     auto* connection = new Connection;
     connection->owner = this;
     uv_tcp_init(loop_.raw(), &connection->handle);
     connection->handle.data = connection;
-    const int accepted =
-        uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
-                  reinterpret_cast<uv_stream_t*>(&connection->handle));
+    const int accepted = take(connection->handle);
     if (accepted != 0) {
       LOG(WARNING) << "event=accept_failed reason=\"" << uv_strerror(accepted)
                    << "\"";
@@ -287,15 +317,61 @@
                });
       return;
     }
+    if (limits_.max_connections != 0 &&
+        connections_.size() >= limits_.max_connections) {
+      uv_tcp_close_reset(&connection->handle, [](uv_handle_t* handle) {
+        delete static_cast<Connection*>(handle->data);
+      });
+      return;
+    }
     uv_tcp_nodelay(&connection->handle, 1);
     http_parser_init(&connection->parser, HTTP_REQUEST);
     connection->parser.data = connection;
     connection->id = next_connection_++;
     connection->since = MonotonicNow();
     connections_[connection->id] = connection;
+    max_connections_seen_ =
+        std::max(max_connections_seen_, connections_.size());
     StartReading(*connection);
   }
 
+  void AcceptNext() {
+    Accept([this](uv_tcp_t& handle) {
+      return uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
+                       reinterpret_cast<uv_stream_t*>(&handle));
+    });
+  }
+
+  // libuv accepts only from its own callback, which runs no more.
+  void AcceptWaiting() {
+    uv_os_fd_t listening = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(listener_),
+                  &listening) != 0) {
+      return;
+    }
+    while (true) {
+      const int socket =
+          accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (socket < 0) {
+        return;
+      }
+      Accept([&](uv_tcp_t& handle) { return uv_tcp_open(&handle, socket); });
+    }
+  }
+
+  void CloseQuiet(Instant now) {
+    std::vector<Connection*> quiet;
+    for (const auto& [id, connection] : connections_) {
+      if (connection->Idle() && !connection->MayBeginSoon(now) &&
+          !connection->HasUnread()) {
+        quiet.push_back(connection);
+      }
+    }
+    for (Connection* connection : quiet) {
+      Linger(*connection);
+    }
+  }
+
   void StartReading(Connection& connection) {
     if (connection.reading || connection.closing) {
       return;
@@ -323,6 +399,7 @@
     if (connection.lingering) {
       return;
     }
+    connection.used = true;
     if (connection.exchange == 0 && connection.pending.empty()) {
       Parse(connection, bytes);
       return;
@@ -532,6 +609,9 @@
     for (Connection* connection : late) {
       Refuse(*connection, kTimeoutStatus, "the request took too long");
     }
+    if (stopping_) {
+      CloseQuiet(now);
+    }
     sweep_.Set(kSweepInterval);
   }
 
@@ -542,9 +622,11 @@
   uv_tcp_t* listener_ = nullptr;
   std::unordered_map<std::uint64_t, Connection*> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;
+  std::size_t max_connections_seen_ = 0;
   std::uint64_t next_connection_ = 1;
   ExchangeId next_exchange_ = 1;
   bool close_after_answers_ = false;
+  bool stopping_ = false;
   std::array<char, kReadBytes> buffer_;
   LoopTimer sweep_;
 };
@@ -586,8 +668,16 @@
   return impl_->open_exchanges();
 }
 
+std::size_t HttpListener::unfinished() const {
+  return impl_->unfinished();
+}
+
 std::size_t HttpListener::connections() const {
   return impl_->connections();
 }
 
+std::size_t HttpListener::max_connections_seen() const {
+  return impl_->max_connections_seen();
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -5,8 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,6 +29,7 @@
   void Play(const ListenerLimits& limits,
             const std::function<void(std::uint16_t port)>& caller) {
     EventLoop loop;
+    post = [&loop](EventLoop::Task task) { loop.Post(std::move(task)); };
     const std::uint16_t port = FreePort();
     auto started =
         HttpListener::Start(loop, {"127.0.0.1", port}, limits,
@@ -53,6 +56,10 @@
     thread.join();
   }
 
+  // Runs `task` on the listener's loop.
+  void Post(EventLoop::Task task) { post(std::move(task)); }
+
+  std::function<void(EventLoop::Task)> post;
   std::unique_ptr<HttpListener> listener;
   HttpResponse answer{200, "text/plain", "hello"};
   bool hold = false;
@@ -212,5 +219,83 @@
   EXPECT_EQ(requests.size(), 1U);
 }
 
+// The loop is busy while callers connect and send, and stops accepting before
+// it comes to accept any of them.
+TEST_F(Listeners, AnswerWhatWasSentBeforeTheyStoppedAccepting) {
+  constexpr int kCallers = 20;
+  int answered = 0;
+  Play({}, [&](std::uint16_t port) {
+    std::vector<std::unique_ptr<Socket>> callers;
+    std::atomic<bool> connected = false;
+    std::atomic<bool> stopped = false;
+    Post([&] {
+      while (!connected) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+      listener->StopAccepting();
+      stopped = true;
+    });
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(std::make_unique<Socket>(port));
+      // Every other one sends its request a little after it has connected.
+      if (i % 2 == 0) {
+        callers.back()->Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+      }
+    }
+    connected = true;
+    while (!stopped) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    for (int i = 1; i < kCallers; i += 2) {
+      callers[i]->Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    for (const auto& caller : callers) {
+      const std::string text = caller->ReadAll();
+      answered += text.find(" 200 ") != std::string::npos &&
+                          text.find("Connection: close") != std::string::npos
+                      ? 1
+                      : 0;
+    }
+  });
+  EXPECT_EQ(answered, kCallers);
+}
+
+TEST_F(Listeners, AnswerARequestThatIsUnreadOnAKeptConnection) {
+  Play({}, [&](std::uint16_t port) {
+    Socket kept(port);
+    kept.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    kept.ReadUntil("hello");
+    std::atomic<bool> sent = false;
+    Post([&] {
+      while (!sent) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+      listener->StopAccepting();
+    });
+    std::this_thread::sleep_for(milliseconds(20));
+    kept.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    sent = true;
+    EXPECT_NE(kept.ReadAll().find(" 200 "), std::string::npos);
+  });
+  EXPECT_EQ(targets, (std::vector<std::string>{"/1", "/2"}));
+}
+
+TEST_F(Listeners, ResetConnectionsBeyondTheirLimit) {
+  ListenerLimits limits;
+  limits.max_connections = 1;
+  Play(limits, [](std::uint16_t port) {
+    Socket first(port);
+    first.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    first.ReadUntil("hello");
+    Socket second(port);
+    second.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(second.ReadAll(), "");
+    first.Send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(first.ReadUntil("hello").find(" 200 "), std::string::npos);
+  });
+  EXPECT_EQ(targets, (std::vector<std::string>{"/1", "/3"}));
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -1,6 +1,5 @@
 #include "entry_api.h"
 
-#include <future>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -15,7 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
-constexpr unsigned kIdleTimeoutS = 60;
+constexpr Duration kIdleTimeout = std::chrono::seconds(60);
+// Far more than the callers and balancers of one host keep open.
+constexpr std::size_t kMaxConnections = 1000;
 constexpr std::size_t kMaxActionBytes = std::size_t{16} * 1024;
 
 HttpResponse Text(int status, std::string body) {
@@ -71,44 +72,41 @@
 }  // namespace
 
 Result<void> EntryApi::Start() {
-  HttpServerConfig config;
-  config.address = host_.settings().http();
-  config.max_body_bytes = kMaxBodyBytes;
-  config.idle_timeout_s = kIdleTimeoutS;
-  auto server = HttpServer::Start(
-      config, [this](const HttpRequest& request) { return Handle(request); });
-  if (!server) {
-    return tl::unexpected(server.error());
-  }
-  server_ = std::move(*server);
+  ListenerLimits limits;
+  limits.max_body_bytes = kMaxBodyBytes;
+  limits.idle_timeout = kIdleTimeout;
+  limits.max_connections = kMaxConnections;
+  auto listener = HttpListener::Start(
+      loop_, host_.settings().http(), limits,
+      {[this](ExchangeId exchange, const HttpRequest& request) {
+         OnRequest(exchange, request);
+       },
+       [](ExchangeId) {}});
+  if (!listener) {
+    return tl::unexpected(listener.error());
+  }
+  listener_ = std::move(*listener);
   return {};
 }
 
-template <typename T>
-T EntryApi::OnLoop(std::function<T()> task) {
-  std::promise<T> promise;
-  auto future = promise.get_future();
-  loop_.Post([&] { promise.set_value(task()); });
-  return future.get();
-}
-
-HttpResponse EntryApi::Handle(const HttpRequest& request) {
-  HttpResponse response = Route(request);
-  response.close = response.close || closing_;
-  return response;
-}
-
-HttpResponse EntryApi::Route(const HttpRequest& request) {
-  const bool post = request.method == "POST";
-  if (post) {
+void EntryApi::OnRequest(ExchangeId exchange, const HttpRequest& request) {
+  if (request.method == "POST") {
     const std::string searched = GroupInPath(request.path, "search");
     if (!searched.empty()) {
-      return OnSearch(searched, request);
+      OnSearch(exchange, searched, request);
+      return;
     }
     const std::string acted = GroupInPath(request.path, "actions");
     if (!acted.empty()) {
-      return OnAction(acted, request);
+      OnAction(exchange, acted, request);
+      return;
     }
+  }
+  listener_->Answer(exchange, Route(request));
+}
+
+HttpResponse EntryApi::Route(const HttpRequest& request) {
+  if (request.method == "POST") {
     if (request.path == "/v1/announcements") {
       return OnAnnouncement(request);
     }
@@ -124,8 +122,7 @@
     return Text(200, "ok\n");
   }
   if (request.path == "/readyz") {
-    const bool ready = OnLoop<bool>([this] { return host_.ready(); });
-    return ready ? Text(200, "ready\n") : Text(503, "not ready\n");
+    return host_.ready() ? Text(200, "ready\n") : Text(503, "not ready\n");
   }
   if (request.path == "/metrics") {
     return OnMetrics();
@@ -136,41 +133,36 @@
   return NotFound(request);
 }
 
-HttpResponse EntryApi::OnSearch(const std::string& group,
-                                const HttpRequest& http) {
+void EntryApi::OnSearch(ExchangeId exchange,
+                        const std::string& group,
+                        const HttpRequest& http) {
   auto request = ParseSearch(group, http);
   if (!request) {
-    return snipeworks::ToHttp(request.error());
+    listener_->Answer(exchange, snipeworks::ToHttp(request.error()));
+    return;
   }
   request->trace_parent = std::string(http.Header("traceparent"));
-  std::promise<Result<SearchAnswer>> promise;
-  auto future = promise.get_future();
-  loop_.Post([&] {
-    host_.Search(std::move(*request), [&](const Result<SearchAnswer>& result) {
-      promise.set_value(result);
-    });
+  host_.Search(std::move(*request), [this, exchange](
+                                        const Result<SearchAnswer>& result) {
+    listener_->Answer(exchange, result ? snipeworks::ToHttp(*result)
+                                       : snipeworks::ToHttp(result.error()));
   });
-  const Result<SearchAnswer> result = future.get();
-  return result ? snipeworks::ToHttp(*result)
-                : snipeworks::ToHttp(result.error());
 }
 
-HttpResponse EntryApi::OnAction(const std::string& group,
-                                const HttpRequest& http) {
+void EntryApi::OnAction(ExchangeId exchange,
+                        const std::string& group,
+                        const HttpRequest& http) {
   auto request = ParseAction(group, http);
   if (!request) {
-    return snipeworks::ToHttp(request.error());
+    listener_->Answer(exchange, snipeworks::ToHttp(request.error()));
+    return;
   }
   request->trace_parent = std::string(http.Header("traceparent"));
-  std::promise<Result<ActionAnswer>> promise;
-  auto future = promise.get_future();
-  loop_.Post([&] {
-    host_.Act(std::move(*request), [&](const Result<ActionAnswer>& result) {
-      promise.set_value(result);
-    });
+  host_.Act(std::move(*request), [this, exchange](
+                                     const Result<ActionAnswer>& result) {
+    listener_->Answer(exchange, result ? ToHttp(*result)
+                                       : snipeworks::ToHttp(result.error()));
   });
-  const Result<ActionAnswer> result = future.get();
-  return result ? ToHttp(*result) : snipeworks::ToHttp(result.error());
 }
 
 HttpResponse EntryApi::OnAnnouncement(const HttpRequest& http) {
@@ -178,42 +170,38 @@
   if (!announcement) {
     return snipeworks::ToHttp(announcement.error());
   }
-  loop_.Post([this, announcement = std::move(*announcement)] {
-    host_.Announce(announcement);
-  });
+  host_.Announce(*announcement);
   return Text(202, "");
 }
 
 HttpResponse EntryApi::OnStatus() {
-  const json document = OnLoop<json>([this] {
-    const Instant now = MonotonicNow();
-    const EntryGauges gauges = host_.Gauges();
-    json targets = json::array();
-    const TargetView& view = host_.searches().view();
-    for (const Announcement* one : view.All()) {
-      const bool draining = one->state == TargetState::kDraining;
-      const Duration age = view.Age(now, one->target).value_or(Duration{});
-      targets.push_back({{"target", one->target},
-                         {"group", one->group},
-                         {"zone", one->zone},
-                         {"address", one->address},
-                         {"state", draining ? "draining" : "serving"},
-                         {"usable", view.Usable(now, one->target) != nullptr},
-                         {"silent_ms", age.count() / 1000}});
-    }
-    json quarantined = json::array();
-    for (Fingerprint fingerprint : host_.searches().Quarantined(now)) {
-      quarantined.push_back(std::to_string(fingerprint));
-    }
-    return json{{"host", host_.settings().host()},
-                {"zone", host_.settings().zone()},
-                {"ready", gauges.ready},
-                {"settings_version", gauges.settings_version},
-                {"running", gauges.running},
-                {"waiting", gauges.waiting},
-                {"targets", std::move(targets)},
-                {"quarantined", std::move(quarantined)}};
-  });
+  const Instant now = MonotonicNow();
+  const EntryGauges gauges = host_.Gauges();
+  json targets = json::array();
+  const TargetView& view = host_.searches().view();
+  for (const Announcement* one : view.All()) {
+    const bool draining = one->state == TargetState::kDraining;
+    const Duration age = view.Age(now, one->target).value_or(Duration{});
+    targets.push_back({{"target", one->target},
+                       {"group", one->group},
+                       {"zone", one->zone},
+                       {"address", one->address},
+                       {"state", draining ? "draining" : "serving"},
+                       {"usable", view.Usable(now, one->target) != nullptr},
+                       {"silent_ms", age.count() / 1000}});
+  }
+  json quarantined = json::array();
+  for (Fingerprint fingerprint : host_.searches().Quarantined(now)) {
+    quarantined.push_back(std::to_string(fingerprint));
+  }
+  const json document{{"host", host_.settings().host()},
+                      {"zone", host_.settings().zone()},
+                      {"ready", gauges.ready},
+                      {"settings_version", gauges.settings_version},
+                      {"running", gauges.running},
+                      {"waiting", gauges.waiting},
+                      {"targets", std::move(targets)},
+                      {"quarantined", std::move(quarantined)}};
   return {200, "application/json", document.dump() + "\n", {}, false};
 }
 
@@ -231,8 +219,7 @@
     return Text(400, "fingerprint: must be a number in a string\n");
   }
   const Fingerprint fingerprint = std::strtoull(text.c_str(), nullptr, 10);
-  const bool released = OnLoop<bool>(
-      [this, fingerprint] { return host_.searches().Release(fingerprint); });
+  const bool released = host_.searches().Release(fingerprint);
   return released ? Text(200, "released\n") : Text(404, "not held\n");
 }
 
@@ -247,14 +234,12 @@
     return Text(400, reader.fault() + "\n");
   }
   const bool cut = document->value("cut", true);
-  loop_.Post(
-      [this, address, cut] { host_.peer_client().SetCut(address, cut); });
+  host_.peer_client().SetCut(address, cut);
   return Text(200, "ok\n");
 }
 
 HttpResponse EntryApi::OnMetrics() {
-  const auto gauges = OnLoop<EntryGauges>([this] { return host_.Gauges(); });
-  HttpResponse response = Text(200, host_.metrics().Page(gauges));
+  HttpResponse response = Text(200, host_.metrics().Page(host_.Gauges()));
   response.content_type = "text/plain; version=0.0.4";
   return response;
 }
--- a/src/snipe-entry/main.cpp
+++ b/src/snipe-entry/main.cpp
@@ -49,10 +49,8 @@
 
  private:
   void StopIfIdle() {
-    const bool idle = host_.unfinished() == 0 && api_.in_flight() == 0;
-    idle_checks_ = idle ? idle_checks_ + 1 : 0;
-    // A request can be on its way from a server thread to the loop.
-    if (idle_checks_ >= 3) {
+    const bool idle = host_.unfinished() == 0 && api_.unfinished() == 0;
+    if (idle) {
       loop_.Stop();
     }
   }
@@ -61,7 +59,6 @@
   EntryHost& host_;
   EntryApi& api_;
   bool started_ = false;
-  int idle_checks_ = 0;
 };
 
 int Main(int argc, char** argv) {
--- a/src/snipe-target/stand_in.cpp
+++ b/src/snipe-target/stand_in.cpp
@@ -83,17 +83,16 @@
   if (!address) {
     return tl::unexpected(address.error());
   }
-  HttpServerConfig config;
-  config.address = *address;
   // The limit is the target's own, so that going over it shows as a failure.
-  config.max_connections = target->plan_.announcement.connections;
+  std::size_t max_connections = target->plan_.announcement.connections;
   if (!target->plan_.enforce_connections) {
-    config.max_connections *= 4;
+    max_connections *= 4;
   }
-  auto server = HttpServer::Start(
-      config, [raw = target.get()](const HttpRequest& request) {
-        return raw->Handle(request);
-      });
+  auto server =
+      BlockingServer::Start(*address, max_connections,
+                            [raw = target.get()](const HttpRequest& request) {
+                              return raw->Handle(request);
+                            });
   if (!server) {
     return tl::unexpected(server.error());
   }
--- a/src/snipe-target/stand_in.h
+++ b/src/snipe-target/stand_in.h
@@ -9,10 +9,10 @@
 #include <mutex>
 #include <string>
 
+#include "blocking_server.h"
 #include "fleet_plan.h"
 #include "snipeworks/announcement.h"
 #include "snipeworks/history.h"
-#include "snipeworks/http_server.h"
 #include "snipeworks/random.h"
 #include "snipeworks/target_protocol.h"
 #include "snipeworks/trace.h"
@@ -95,7 +95,7 @@
   std::uint64_t newest_connection_ = 0;
   std::uint64_t silent_up_to_ = 0;
   bool stopping_ = false;
-  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<BlockingServer> server_;
 };
 
 }  // namespace snipeworks
