Leave targets alone that say so, and let no restart bring a drained one back

Cause: what a target says in its answers was not heard: that it leaves, and, without the proof that it has not run the request, that it wants nothing for a while. A drained target that fell silent became "gone", and gone ones are back with their next report. Control hosts keep the directory in memory: after all of them restarted, an old report that a cut had held back put a drained target into use again. And that a target drains was dropped by a host that had heard a later report of it.

Change: "leaves" is draining, final for that start, told to control hosts until one has heard it; attempts that are not sent are taken back. A time to come back binds choice, hedges, retries and the queue alike; if all targets of a part have given one that is too late, callers are told at once the soonest. Entry hosts tell control hosts that have started anew which targets have drained. What ended is forgotten after 30 minutes.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -28,6 +28,8 @@
     std::function<void(const std::vector<TargetCondition>&)> on_conditions;
     /// What this host has seen of targets since the last call.
     std::function<std::vector<ConditionSample>()> take_samples;
+    /// The targets that this host knows to have taken their last work.
+    std::function<std::vector<Announcement>()> drained;
     /// A digest of the targets that this host takes to be serving.
     std::function<std::uint64_t()> digest;
   };
@@ -44,6 +46,10 @@
   void Start();
   void AddSeeds(const std::vector<std::string>& seeds);
 
+  /// Tells control hosts that a target takes no new work, again and again until
+  /// one has heard it.
+  void TellLeaving(const Announcement& news);
+
   std::uint64_t routing_version() const { return routing_.version; }
   /// True once any control host has told what it knows.
   bool informed() const { return informed_; }
@@ -89,6 +95,7 @@
   std::uint64_t control_digest_ = 0;
   Instant started_{};
   Instant report_due_{};
+  std::map<std::string, Announcement> leaving_;  ///< Not heard by anyone yet.
   std::uint32_t fleet_size_ = 0;
   bool informed_ = false;
 };
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -75,6 +75,7 @@
 
   void Spread(const Announcement& news, Acknowledge acknowledge);
   void LogChange(const Announcement& news, const char* source);
+  void TakeLeaving(const Announcement& news);
   void SendGossip(const std::string& address, Peer& peer);
   void OnGossipReply(const std::string& address, const PeerResult& result);
   bool HasNews(Instant now,
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -103,11 +103,14 @@
 /// What an entry host has seen of targets since its last report.
 struct ConditionReport {
   std::vector<ConditionSample> samples;
+  /// Targets that take no new work, as they told in answers, or as a control
+  /// host told that has lost its memory since.
+  std::vector<Announcement> leaving;
 };
 
 template <SameStruct<ConditionReport> S>
 auto WireFields(S& v) {
-  return std::tie(v.samples);
+  return std::tie(v.samples, v.leaving);
 }
 
 /// The answer to gossip: what its receiver knows now.
--- a/src/include/snipeworks/replica_selector.h
+++ b/src/include/snipeworks/replica_selector.h
@@ -28,6 +28,9 @@
   enum class State { kChosen, kBusy, kNone };
   State state = State::kNone;
   const Announcement* target = nullptr;
+  /// With kBusy: set if every replica has asked to be left alone, to the time
+  /// at which the first of them may be asked again.
+  std::optional<Instant> paused_until;
 };
 
 /// What a ReplicaSelector is made with.
@@ -58,9 +61,16 @@
   /// has room now. Smaller is better.
   std::optional<double> BestScore(const ReplicaQuery& query);
 
+  /// When the first of the usable and untried replicas may be asked again, if
+  /// all of them have asked to be left alone now.
+  std::optional<Instant> PausedUntil(const ReplicaQuery& query);
+
   /// Replicas that could be chosen now or later, ejected ones included.
   std::size_t CountUsable(const ReplicaQuery& query) const;
 
+  /// Drops what was seen of a target that has ended.
+  void Forget(const std::string& target) { stats_.erase(target); }
+
   /// The stats of `target`, or null if it never announced itself.
   TargetStats* Stats(const std::string& target);
 
@@ -81,6 +91,8 @@
 
   /// Fills candidates_ with the replicas that are usable and not tried.
   void FindCandidates(const ReplicaQuery& query);
+  /// See PausedUntil, for candidates_.
+  std::optional<Instant> CandidatesPausedUntil(Instant now) const;
   double Score(const ReplicaQuery& query, const Candidate& one) const;
   /// The best of candidates_, which it may shorten and reorder.
   Candidate Best(const ReplicaQuery& query);
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -62,6 +62,18 @@
   const char* reason = "";
 };
 
+/// Attempts for the target that were started and not sent must not be sent any
+/// more: each ends as not sent.
+struct WithdrawUnsent {
+  std::string target;
+};
+
+/// A target has told in an answer that it takes no new work. To be told to the
+/// other hosts.
+struct ReportLeaving {
+  Announcement news;
+};
+
 /// What an announcement brought.
 enum class AnnounceResult {
   kOld,      ///< Known already, or older than what is known.
@@ -74,7 +86,9 @@
                                   ProbeAttempt,
                                   FinishSearch,
                                   ShareEvidence,
-                                  SkipHedge>;
+                                  SkipHedge,
+                                  WithdrawUnsent,
+                                  ReportLeaving>;
 
 /// A target lent to a request that is not repeatable.
 struct ActionTarget {
--- a/src/include/snipeworks/target_directory.h
+++ b/src/include/snipeworks/target_directory.h
@@ -35,10 +35,18 @@
              std::optional<std::uint64_t> incarnation,
              std::optional<std::uint64_t> sequence);
 
+  /// An entry host knows that this incarnation of a target takes no more work,
+  /// from its own answers or from before a restart of this host.
+  void TakeDrained(Instant now, const Announcement& news);
+
   /// Marks as gone what has been silent for a lease. To be called only while
   /// this host hears what the others hear. Returns the targets concerned.
   std::vector<std::string> DropSilent(Instant now);
 
+  /// Forgets targets that ended so long ago that no old report of theirs can
+  /// still arrive.
+  void ForgetEnded(Instant now);
+
   /// Grows with each change, renewals left out.
   std::uint64_t serial() const { return serial_; }
 
--- a/src/include/snipeworks/target_stats.h
+++ b/src/include/snipeworks/target_stats.h
@@ -44,7 +44,10 @@
   /// True if another attempt may be sent now, ejection aside.
   bool HasRoom(Instant now) const;
   bool IsEjected(Instant now) const { return now < ejected_until_; }
+  /// True while the target has asked to be left alone.
   bool IsShedding(Instant now) const { return now < shed_until_; }
+  /// The end of that time, in the past if there is none.
+  Instant shed_until() const { return shed_until_; }
   /// The end of the current ejection, in the past if there is none.
   Instant ejected_until() const { return ejected_until_; }
 
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -67,6 +67,10 @@
   /// digests know the same targets.
   std::uint64_t Digest() const { return digest_; }
 
+  /// Forgets targets that took their last work, or have gone, and have been
+  /// silent for much longer than any report is on its way. Returns their names.
+  std::vector<std::string> ForgetEnded(Instant now);
+
   /// Forgets targets silent for much longer than a lease.
   void Prune(Instant now);
 
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -105,17 +105,37 @@
   }
 }
 
-// A report that is lost is not made good: the next one tells what is so then.
+void ControlFeed::TellLeaving(const Announcement& news) {
+  leaving_[news.target] = news;
+  report_due_ = Instant{};
+}
+
+// Samples that are lost are not made good: the next report tells what is so
+// then. A target that leaves is told until it was heard.
 void ControlFeed::ReportConditions(Instant now, const std::string& address) {
   if (now < report_due_) {
     return;
   }
   report_due_ = now + kReportInterval;
-  ConditionReport report{handlers_.take_samples()};
-  if (!report.samples.empty()) {
-    peers_.Call(address, kControlConditionsPath, Encode(report), kReportTimeout,
-                [](const PeerResult&) {});
+  ConditionReport report{handlers_.take_samples(), {}};
+  for (const auto& [target, news] : leaving_) {
+    report.leaving.push_back(news);
+  }
+  if (report.samples.empty() && report.leaving.empty()) {
+    return;
   }
+  peers_.Call(address, kControlConditionsPath, Encode(report), kReportTimeout,
+              [this, told = report.leaving](const PeerResult& result) {
+                if (!result) {
+                  return;
+                }
+                for (const Announcement& news : told) {
+                  auto found = leaving_.find(news.target);
+                  if (found != leaving_.end() && found->second == news) {
+                    leaving_.erase(found);
+                  }
+                }
+              });
 }
 
 void ControlFeed::Watch(const std::string& address, Source& source, bool best) {
@@ -165,6 +185,13 @@
   source.heard = now;
   source.zone = reply->zone;
   source.current = reply->current;
+  // It has started anew and knows only what is told to it: an old report must
+  // not bring a target back that took its last work before.
+  if (source.epoch != 0 && source.epoch != reply->epoch) {
+    for (const Announcement& news : handlers_.drained()) {
+      TellLeaving(news);
+    }
+  }
   source.epoch = reply->epoch;
   source.serial = reply->serial;
   source.condition_serial = reply->condition_serial;
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -233,6 +233,9 @@
   std::erase_if(report->samples, [&](const ConditionSample& sample) {
     return directory_.view().Find(sample.target) == nullptr;
   });
+  for (const Announcement& news : report->leaving) {
+    TakeLeaving(news);
+  }
   conditions_.Add(MonotonicNow(), report->samples);
   for (auto& [address, peer] : others_) {
     for (const ConditionSample& sample : report->samples) {
@@ -246,6 +249,16 @@
   reply(std::string());
 }
 
+void ControlMembership::TakeLeaving(const Announcement& news) {
+  const std::uint64_t before = directory_.serial();
+  directory_.TakeDrained(MonotonicNow(), news);
+  if (directory_.serial() != before) {
+    const Announcement& taken = *directory_.view().Find(news.target);
+    LogChange(taken, "entry");
+    Spread(taken, [] {});
+  }
+}
+
 bool ControlMembership::HasNews(Instant now,
                                 const WatchRequest& request,
                                 const ControlView& view) const {
@@ -395,6 +408,7 @@
   if (!view.current) {
     current_since_ = now;
   } else if (now - current_since_ > lease_) {
+    directory_.ForgetEnded(now);
     for (const std::string& target : directory_.DropSilent(now)) {
       LogChange(*directory_.view().Find(target), "silence");
     }
--- a/src/libsnipeworks/fake_targets_test.h
+++ b/src/libsnipeworks/fake_targets_test.h
@@ -136,6 +136,10 @@
   Behaviour behaviour = [](const AttemptCommand&) {
     return FakeReply{std::chrono::milliseconds(10)};
   };
+  /// Whether the answer to an attempt says that its target leaves.
+  std::function<bool(const AttemptCommand&)> leaving =
+      [](const AttemptCommand&) { return false; };
+  std::vector<std::string> told_to_leave;
   bool announcing = true;
   std::map<std::string, Announcement> targets;
   std::multimap<Instant, std::function<void()>> events;
@@ -168,6 +172,8 @@
       } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
         results.emplace(finish->id, finish->result);
         finished_at[finish->id] = now;
+      } else if (const auto* leaves = std::get_if<ReportLeaving>(&action)) {
+        told_to_leave.push_back(leaves->news.target);
       } else if (const auto* share = std::get_if<ShareEvidence>(&action)) {
         Share(*share);
       }
@@ -185,6 +191,7 @@
     AttemptOutcome outcome;
     outcome.status = reply.status;
     outcome.retry_after = reply.retry_after;
+    outcome.leaving = leaving(command);
     outcome.snapshot = command.snapshot;
     outcome.part = command.part;
     outcome.documents = 100;
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -117,6 +117,7 @@
                OnConditions(conditions);
              },
              [this] { return searches_.TakeSamples(); },
+             [this] { return DrainedTargets(); },
              [this] { return ServingDigest(searches_.view()); }}),
       timer_(loop, [this] {
         searches_.Tick(MonotonicNow());
@@ -214,7 +215,7 @@
 }
 
 void ForwardHost::CloseIfIdle(const std::function<void()>& done) {
-  if (front_->open_exchanges() == 0) {
+  if (front_->unfinished() == 0) {
     loop_.After(front_->connections() > 0 ? kFlushTime : Duration{}, done);
   }
 }
@@ -307,16 +308,34 @@
   for (const Announcement& news : changes) {
     const AnnounceResult taken = searches_.Announce(now, news);
     if (taken == AnnounceResult::kChange) {
-      log_.Write(EventKind::kTargetChanged, {{"target", news.target},
-                                             {"group", news.group},
-                                             {"address", news.address},
-                                             {"state", ToString(news.state)},
-                                             {"incarnation", news.incarnation},
-                                             {"sequence", news.sequence}});
+      LogTarget(news, "control");
+      if (news.state != TargetState::kServing) {
+        gateway_.Withdraw(news.target);
+      }
     }
   }
 }
 
+void ForwardHost::LogTarget(const Announcement& news, const char* source) {
+  log_.Write(EventKind::kTargetChanged, {{"target", news.target},
+                                         {"group", news.group},
+                                         {"address", news.address},
+                                         {"state", ToString(news.state)},
+                                         {"incarnation", news.incarnation},
+                                         {"sequence", news.sequence},
+                                         {"source", source}});
+}
+
+std::vector<Announcement> ForwardHost::DrainedTargets() const {
+  std::vector<Announcement> drained;
+  for (const Announcement* target : searches_.view().All()) {
+    if (target->state == TargetState::kDraining) {
+      drained.push_back(*target);
+    }
+  }
+  return drained;
+}
+
 void ForwardHost::OnConditions(const std::vector<TargetCondition>& conditions) {
   searches_.OnConditions(MonotonicNow(), conditions);
   std::size_t slow = 0;
@@ -431,6 +450,11 @@
     gateway_.Cancel(cancel->id);
   } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
     Finish(*finish);
+  } else if (const auto* withdraw = std::get_if<WithdrawUnsent>(&action)) {
+    gateway_.Withdraw(withdraw->target);
+  } else if (const auto* leaves = std::get_if<ReportLeaving>(&action)) {
+    LogTarget(leaves->news, "answer");
+    feed_.TellLeaving(leaves->news);
   } else if (const auto* skip = std::get_if<SkipHedge>(&action)) {
     auto running = running_.find(skip->request);
     if (running != running_.end()) {
@@ -462,7 +486,8 @@
          {"attempt", attempt},
          {"target", target},
          {"outcome", ToString(outcome.status)},
-         {"status", outcome.answer ? outcome.answer->status : 0}});
+         {"status", outcome.answer ? outcome.answer->status : 0},
+         {"retry_after_ms", outcome.retry_after}});
   }
   searches_.OnOutcome(MonotonicNow(), attempt, outcome);
 }
@@ -548,6 +573,7 @@
   gauges.control_hosts = feed_.connected(now);
   gauges.connections = front_->connections();
   gauges.peers = peers_.traffic();
+  gauges.targets_traffic = gateway_.traffic();
   return metrics_.Page(gauges);
 }
 
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -162,10 +162,32 @@
       candidates_, {}, [&](const Candidate& one) { return Score(query, one); });
 }
 
+std::optional<Instant> ReplicaSelector::CandidatesPausedUntil(
+    Instant now) const {
+  std::optional<Instant> first;
+  for (const Candidate& one : candidates_) {
+    if (!one.stats->IsShedding(now)) {
+      return std::nullopt;
+    }
+    const Instant until = one.stats->shed_until();
+    first = std::min(until, first.value_or(until));
+  }
+  return first;
+}
+
+std::optional<Instant> ReplicaSelector::PausedUntil(const ReplicaQuery& query) {
+  FindCandidates(query);
+  return CandidatesPausedUntil(query.now);
+}
+
 ReplicaChoice ReplicaSelector::Choose(const ReplicaQuery& query) {
   FindCandidates(query);
   if (candidates_.empty()) {
-    return {ReplicaChoice::State::kNone, nullptr};
+    return {ReplicaChoice::State::kNone, nullptr, {}};
+  }
+  const std::optional<Instant> paused = CandidatesPausedUntil(query.now);
+  if (paused) {
+    return {ReplicaChoice::State::kBusy, nullptr, paused};
   }
   const auto is_ejected = [&](const Candidate& one) {
     return one.stats->IsEjected(query.now);
@@ -177,9 +199,9 @@
     return !one.stats->HasRoom(query.now);
   });
   if (candidates_.empty()) {
-    return {ReplicaChoice::State::kBusy, nullptr};
+    return {ReplicaChoice::State::kBusy, nullptr, {}};
   }
-  return {ReplicaChoice::State::kChosen, Best(query).target};
+  return {ReplicaChoice::State::kChosen, Best(query).target, {}};
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -205,6 +205,9 @@
   }
   if (now - pruned_at_ > kPruneInterval) {
     view_.Prune(now);
+    for (const std::string& target : view_.ForgetEnded(now)) {
+      selector_.Forget(target);
+    }
     poison_.Prune(now);
     PruneGroups(now);
     pruned_at_ = now;
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -60,8 +60,9 @@
   std::size_t part_index = 0;
   AttemptKind kind = AttemptKind::kPrimary;
   std::string target;
-  std::string group;         ///< Whose latencies it belongs to.
-  std::string target_group;  ///< Whose budget it draws on.
+  std::string group;              ///< Whose latencies it belongs to.
+  std::string target_group;       ///< Whose budget it draws on.
+  std::uint64_t incarnation = 0;  ///< Of the target.
   SnapshotId snapshot;
   Fingerprint fingerprint = 0;
   bool sole = false;  ///< The only part of its request that was running.
@@ -166,6 +167,9 @@
                 std::size_t part_index,
                 MissingReason reason);
   bool Replan(Instant now, SearchRun& search);
+  /// How long until the parts of `search` that were refused may be asked for
+  /// again, as far as their targets have told; 0 if none has.
+  Duration RefusedFor(Instant now, const SearchRun& search);
   void Finish(Instant now, SearchRun& search);
   void FinishWith(Instant now, SearchRun& search, Error error);
   void Remove(Instant now, SearchRun& search);
@@ -180,6 +184,7 @@
                    const AttemptRun& run,
                    AttemptStatus status);
   void TakeWrongTarget(Instant now, const AttemptRun& run);
+  void TakeLeaving(Instant now, const AttemptRun& run);
   void TakeFailure(Instant now,
                    SearchRun& search,
                    const AttemptRun& run,
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -200,7 +200,13 @@
                         group.Reference(), search->policy()});
   switch (choice.state) {
     case ReplicaChoice::State::kBusy:
-      return PartQueue::Offer::kBusy;
+      if (!choice.paused_until || *choice.paused_until < search->AnswerBy()) {
+        return PartQueue::Offer::kBusy;
+      }
+      // Nobody will take it in time, so its caller need not wait to hear that.
+      MissPart(*search, index, MissingReason::kRefused);
+      AfterChange(now, *search);
+      return PartQueue::Offer::kTaken;
     case ReplicaChoice::State::kNone:
       if (part.reason == MissingReason::kWrongSnapshot &&
           Replan(now, *search)) {
@@ -232,6 +238,7 @@
                    target.target,
                    search.request().group,
                    target.group,
+                   target.incarnation,
                    search.snapshot().id(),
                    search.fingerprint(),
                    sole,
@@ -348,6 +355,21 @@
   return true;
 }
 
+Duration SearchEngine::RefusedFor(Instant now, const SearchRun& search) {
+  Duration longest{};
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    const PartRun& part = search.parts()[i];
+    if (part.status != PartStatus::kMissing ||
+        part.reason != MissingReason::kRefused) {
+      continue;
+    }
+    const auto until = selector_.PausedUntil(
+        {now, search.ReplicasOf(i), {}, {}, search.policy()});
+    longest = std::max(longest, until.value_or(now) - now);
+  }
+  return longest;
+}
+
 void SearchEngine::Finish(Instant now, SearchRun& search) {
   if (search.AnsweredParts() >= search.NeededParts()) {
     actions_.emplace_back(
@@ -356,7 +378,8 @@
     return;
   }
   Error error;
-  error.retry_after = kFailedRetryAfter;
+  const Duration refused = RefusedFor(now, search);
+  error.retry_after = refused > Duration{} ? refused : kFailedRetryAfter;
   if (!search.MayHaveRun()) {
     const bool waited =
         search.Started() ||
@@ -367,6 +390,9 @@
     error.kind = waited ? ErrorKind::kOverloaded : ErrorKind::kNoTarget;
     error.detail = search.Started() ? "no target took the request"
                                     : "no part was sent to a target";
+    if (refused > Duration{}) {
+      error.detail = "every target of a part has asked to be left alone";
+    }
   } else {
     const bool too_late =
         !search.OutOfReach() ||
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -34,6 +34,11 @@
   if (outcome.status == AttemptStatus::kWrongTarget) {
     TakeWrongTarget(now, run);
   }
+  if (outcome.leaving) {
+    TakeLeaving(now, run);
+  } else if (outcome.retry_after > Duration{}) {
+    actions_.emplace_back(WithdrawUnsent{run.target});
+  }
   if (outcome.status == AttemptStatus::kNotSent &&
       run.kind != AttemptKind::kPrimary) {
     extra_budgets_[run.target_group].GiveBack(now);
@@ -110,6 +115,21 @@
   }
 }
 
+// Its own word counts at once, also while no control host can be asked. A later
+// start of the target has not said so.
+void SearchEngine::TakeLeaving(Instant now, const AttemptRun& run) {
+  const Announcement* known = view_.Find(run.target);
+  if (known == nullptr || known->incarnation != run.incarnation ||
+      known->state != TargetState::kServing) {
+    return;
+  }
+  Announcement leaving = *known;
+  leaving.state = TargetState::kDraining;
+  actions_.emplace_back(WithdrawUnsent{run.target});
+  actions_.emplace_back(ReportLeaving{leaving});
+  Announce(now, leaving, {});
+}
+
 // The target proved that it did not run the part: another may, at no extra
 // load.
 void SearchEngine::TakeRefusal(SearchRun& search,
--- a/src/libsnipeworks/target_directory.cpp
+++ b/src/libsnipeworks/target_directory.cpp
@@ -81,10 +81,31 @@
   return true;
 }
 
+void TargetDirectory::TakeDrained(Instant now, const Announcement& news) {
+  if (view_.Find(news.target) != nullptr) {
+    Leave(now, news.target, news.incarnation, news.sequence);
+    return;
+  }
+  Announcement drained = news;
+  drained.state = TargetState::kDraining;
+  Take(now, drained);
+}
+
+void TargetDirectory::ForgetEnded(Instant now) {
+  for (const std::string& target : view_.ForgetEnded(now)) {
+    if (auto found = serial_of_.find(target); found != serial_of_.end()) {
+      changes_.erase(found->second);
+      serial_of_.erase(found);
+    }
+    std::erase_if(at_address_,
+                  [&](const auto& holder) { return holder.second == target; });
+  }
+}
+
 std::vector<std::string> TargetDirectory::DropSilent(Instant now) {
   std::vector<Announcement> silent;
   for (const Announcement* target : view_.All()) {
-    const bool here = target->state != TargetState::kGone;
+    const bool here = target->state == TargetState::kServing;
     if (here && view_.Age(now, target->target).value_or(Duration{}) > lease_) {
       silent.push_back(*target);
     }
--- a/src/libsnipeworks/target_directory_test.cpp
+++ b/src/libsnipeworks/target_directory_test.cpp
@@ -111,5 +111,37 @@
   EXPECT_EQ(ServingDigest(directory.view()), ServingDigest(other.view()));
 }
 
+// All control hosts have lost their memory; entry hosts have not.
+TEST_F(Directories, TakeFromEntryHostsWhatHasDrainedBeforeARestart) {
+  Announcement drained = News("a", 1, 7);
+  drained.state = TargetState::kDraining;
+  directory.TakeDrained(now, drained);
+  EXPECT_EQ(StateOf("a"), TargetState::kDraining);
+  // A report from before its end, held back by a cut.
+  directory.Take(now, News("a", 1, 6));
+  directory.Take(now, News("a", 1, 8));
+  EXPECT_EQ(StateOf("a"), TargetState::kDraining);
+  // It starts again under its name.
+  directory.Take(now, News("a", 2, 1));
+  directory.TakeDrained(now, drained);
+  EXPECT_EQ(StateOf("a"), TargetState::kServing);
+}
+
+TEST_F(Directories, DoNotBringBackADrainedTargetThatFellSilent) {
+  directory.Take(now, News("a", 1, 1));
+  directory.Leave(now, "a", 1, 2);
+  EXPECT_TRUE(directory.DropSilent(now + seconds(60)).empty());
+  directory.Take(now + seconds(61), News("a", 1, 3));
+  EXPECT_EQ(StateOf("a"), TargetState::kDraining);
+}
+
+TEST_F(Directories, ForgetWhatEndedLongAgo) {
+  directory.Take(now, News("a", 1, 1));
+  directory.Leave(now, "a", 1, 2);
+  directory.ForgetEnded(now + std::chrono::minutes(31));
+  EXPECT_EQ(directory.view().Find("a"), nullptr);
+  EXPECT_TRUE(directory.ChangesSince(0).empty());
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -108,6 +108,9 @@
     busy_ = static_cast<double>(outcome.load->running + outcome.load->waiting);
     busy_at_ = now;
   }
+  if (outcome.retry_after > Duration{}) {
+    shed_until_ = std::max(shed_until_, now + outcome.retry_after);
+  }
   const double slowness =
       static_cast<double>(latency.count()) /
       static_cast<double>(std::max<std::int64_t>(1, usual.count()));
@@ -124,7 +127,6 @@
     case AttemptStatus::kShed:
       ObserveFailure(now, true);
       limit_ = std::max(1.0, limit_ * kLimitCutOnShed);
-      shed_until_ = now + outcome.retry_after;
       return;
     case AttemptStatus::kNotSent:
     case AttemptStatus::kWrongTarget:
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -12,6 +12,9 @@
 // Kept this many leases after its last announcement, so that a relayed copy of
 // an old announcement is still recognised as old.
 constexpr int kLeasesRemembered = 20;
+// Reports that a cut has held back arrive within its length and that of their
+// connection's retransmissions: minutes at most.
+constexpr Duration kEndRemembered = std::chrono::minutes(30);
 
 // All of an announcement but its sequence and load, for comparing.
 auto WithoutRenewal(const Announcement& one) {
@@ -36,11 +39,23 @@
     Replace(records_[news.target], news, heard_at);
     return true;
   }
-  if (!news.IsNewerThan(found->second.announcement)) {
-    return false;
+  Record& record = found->second;
+  if (news.IsNewerThan(record.announcement)) {
+    Replace(record, news, heard_at);
+    return true;
+  }
+  // That a target takes no more work is true whatever else it has said since:
+  // an entry host learns it from an answer, between two reports.
+  const Announcement& known = record.announcement;
+  const bool ends = news.incarnation == known.incarnation &&
+                    news.state == TargetState::kDraining &&
+                    known.state != TargetState::kDraining;
+  if (ends) {
+    Announcement ended = known;
+    ended.state = TargetState::kDraining;
+    Replace(record, ended, record.heard_at);
   }
-  Replace(found->second, news, heard_at);
-  return true;
+  return ends;
 }
 
 // Most news are renewals, which leave the digest as it is: taking the digest of
@@ -55,7 +70,10 @@
       record.digest != 0 && WithoutRenewal(before) == WithoutRenewal(news);
   record.announcement = news;
   record.heard_at = heard_at;
-  if (drained_before && news.state == TargetState::kServing) {
+  // Also silence or another start at its address does not undo it: a target
+  // that is gone is back with its next report, and an old one must not do that
+  // for one that has drained.
+  if (drained_before) {
     record.announcement.state = TargetState::kDraining;
   }
   if (!renewal) {
@@ -144,6 +162,21 @@
                            : std::optional(now - record->heard_at);
 }
 
+std::vector<std::string> TargetView::ForgetEnded(Instant now) {
+  std::vector<std::string> forgotten;
+  std::erase_if(records_, [&](const auto& entry) {
+    const Record& record = entry.second;
+    const bool ended = record.announcement.state != TargetState::kServing &&
+                       now - record.heard_at > kEndRemembered;
+    if (ended) {
+      digest_ ^= record.digest;
+      forgotten.push_back(entry.first);
+    }
+    return ended;
+  });
+  return forgotten;
+}
+
 void TargetView::Prune(Instant now) {
   std::erase_if(records_, [&](const auto& entry) {
     const bool forgotten =
--- a/src/libsnipeworks/target_view_test.cpp
+++ b/src/libsnipeworks/target_view_test.cpp
@@ -60,6 +60,33 @@
   EXPECT_NE(view.Usable(kStart, "t"), nullptr);
 }
 
+TEST(Draining, OutlivesSilenceAndALateReport) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 5, TargetState::kDraining));
+  view.Merge(kStart, One(1, 5, TargetState::kGone));
+  view.Merge(kStart, One(1, 6));
+  EXPECT_EQ(view.Usable(kStart, "t"), nullptr);
+}
+
+TEST(Draining, IsTakenFromAHostThatHasHeardFewerReports) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 6));
+  EXPECT_TRUE(view.Merge(kStart, One(1, 5, TargetState::kDraining)));
+  EXPECT_FALSE(view.Merge(kStart, One(1, 5, TargetState::kDraining)));
+  EXPECT_EQ(view.Usable(kStart, "t"), nullptr);
+  EXPECT_EQ(view.Find("t")->sequence, 6U);
+}
+
+TEST(Draining, IsForgottenOnceNoReportCanBeOnItsWay) {
+  TargetView view(kLease);
+  view.Merge(kStart, One(1, 5, TargetState::kDraining));
+  EXPECT_TRUE(view.ForgetEnded(kStart + std::chrono::minutes(5)).empty());
+  EXPECT_EQ(view.ForgetEnded(kStart + std::chrono::minutes(31)),
+            std::vector<std::string>{"t"});
+  EXPECT_EQ(view.Find("t"), nullptr);
+  EXPECT_EQ(view.Digest(), TargetView(kLease).Digest());
+}
+
 TEST(Draining, ARenewalDoesNotHideItFromAHostThatMissedIt) {
   TargetView told(kLease);
   told.Merge(kStart, One(1, 5));
