--- a/src/libsnipeworks/program.cpp
+++ b/src/libsnipeworks/program.cpp
@@ -46,6 +46,8 @@
   }
   // A peer that has gone must show as a failed write, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // A file that may not grow is an error of the write, as on a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = parsed.result["log-level"].as<int>();
   google::InitGoogleLogging(argv[0]);
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -138,26 +138,30 @@
   on_event_("run", std::string(work.request.Header(names_.request_id)));
   running_[exchange] = std::move(work);
   const double share = kLeastWork + random_.Unit();
-  loop_.After(Duration(static_cast<std::int64_t>(
-                  static_cast<double>(plan_.work.count()) * share)),
-              [this, exchange] {
-                auto found = running_.find(exchange);
-                if (found == running_.end()) {
-                  return;
-                }
-                const HttpRequest& request = found->second.request;
-                const std::string id(request.Header(names_.request_id));
-                HttpResponse response;
-                response.content_type = "application/octet-stream";
-                response.body = RecordsOf(plan_.group, request.method,
-                                          request.target, plan_.records);
-                response.headers = {
-                    {names_.request_id, id},
-                    {names_.signature, plan_.group + "." + id + "." + name_},
-                    {names_.load, Load()}};
-                listener_->Answer(exchange, response);
-                End(exchange);
-              });
+  loop_.After(
+      Duration(static_cast<std::int64_t>(
+          static_cast<double>(plan_.work.count()) * share)),
+      [this, exchange] {
+        auto found = running_.find(exchange);
+        if (found == running_.end()) {
+          return;
+        }
+        const HttpRequest& request = found->second.request;
+        const std::string id(request.Header(names_.request_id));
+        HttpResponse response;
+        response.content_type = "application/octet-stream";
+        response.body = RecordsOf(plan_.group, request.method, request.target,
+                                  plan_.records);
+        response.headers = {
+            {names_.request_id, id},
+            {names_.signature, plan_.group + "." + id + "." + name_},
+            {names_.load, Load()}};
+        if (draining_) {
+          response.headers.push_back({names_.leaving, names_.leaving_value});
+        }
+        listener_->Answer(exchange, response);
+        End(exchange);
+      });
 }
 
 void Backend::End(ExchangeId exchange) {
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -1,8 +1,7 @@
-"""Shows that tests fail without the mechanism they are for: mutations.py BUILD [NAME...]
+"""Shows that tests fail without the mechanism they are for: mutations.py [NAME...]
 
 Each mutation takes one mechanism out of a scratch copy of the sources, builds it
-there, and expects the named tests to fail. BUILD is a build folder whose
-dependencies are used.
+there, and expects the named tests to fail.
 """
 
 import os
@@ -28,11 +27,37 @@
      "Search.WhenTheSnapshotIsDropped*"),
     ("lease-age", LIB + "target_view.cpp", "const Instant heard_at = now - age;",
      "const Instant heard_at = now - age * 0;", "Leases.*"),
-    ("old-sequence", LIB + "target_view.cpp", "if (!news.IsNewerThan(found->second.announcement)) {",
-     "if (false) {", "Leases.*:Views.*"),
+    ("old-sequence", LIB + "target_view.cpp", "if (news.IsNewerThan(record.announcement)) {",
+     "if (true) {", "Leases.*:Views.*"),
     ("draining-final", LIB + "target_view.cpp",
-     "  if (drained_before && news.state == TargetState::kServing) {",
-     "  if (drained_before && false) {", "Draining.*"),
+     "  if (drained_before) {", "  if (drained_before && false) {", "Draining.*"),
+    ("draining-over-reports", LIB + "target_view.cpp", "  if (ends) {", "  if (false) {",
+     "Draining.IsTakenFrom*"),
+    ("drained-after-restart", LIB + "target_directory.cpp",
+     "  drained.state = TargetState::kDraining;\n  Take(now, drained);\n",
+     "  drained.state = TargetState::kDraining;\n", "Directories.TakeFromEntryHosts*"),
+    ("leaving-decoded", LIB + "forward_gateway.cpp",
+     "outcome.leaving = result.Header(names.leaving) == names.leaving_value;",
+     "outcome.leaving = false;", "ForwardOutcomes.TellThat*"),
+    ("leaving", LIB + "search_outcomes.cpp", "if (outcome.leaving) {", "if (false) {", "Leaving.*"),
+    ("left-alone", LIB + "target_stats.cpp", "if (outcome.retry_after > Duration{}) {", "if (false) {",
+     "LeftAlone.*"),
+    ("left-alone-told", LIB + "search_flow.cpp",
+     "if (!choice.paused_until || *choice.paused_until < search->AnswerBy()) {", "if (true) {",
+     "LeftAlone.WhenAll*"),
+    ("unsent-withdrawn", LIB + "forward_gateway.cpp", "      client_.AbortUnsent(running.call);\n", "",
+     "ForwardGateways.Withdraw*"),
+    ("answers-held", LIB + "http_client.cpp", "while (held_ > limits_.held_bytes) {", "while (false) {",
+     "HttpClients.HoldNoMore*"),
+    ("answer-size", LIB + "http_client.cpp", "transfer.received > limits_.answer_bytes ||", "false ||",
+     "Bytes/EndlessAnswers*"),
+    ("accept-queue", LIB + "http_listener.cpp", "    AcceptWaiting();\n", "", "Listeners.AnswerWhatWasSent*"),
+    ("first-request", LIB + "http_listener.cpp", "return !used && !lingering &&",
+     "return false && !used && !lingering &&", "Listeners.AnswerWhatWasSent*"),
+    ("unread-request", LIB + "http_listener.cpp", "          !connection->HasUnread()) {",
+     "          connection->owner != nullptr) {", "Listeners.AnswerARequest*"),
+    ("store-log", LIB + "rocks_log_store.cpp",
+     "  options.info_log = std::make_shared<StoreLogger>();\n", "", "FaultyDisks.*"),
     ("renewal-digest", LIB + "target_view.cpp", "      DigestOf(news.target) != news.digest) {",
      "      news.target.empty()) {", "Draining.ARenewal*"),
     ("ejection-last", LIB + "replica_selector.cpp",
@@ -153,14 +178,11 @@
 
 
 def main():
-    build, chosen = os.path.abspath(sys.argv[1]), sys.argv[2:]
+    chosen = sys.argv[1:]
     scratch = tempfile.mkdtemp(prefix="mutations-")
     tree, out = os.path.join(scratch, "tree"), os.path.join(scratch, "build")
     shutil.copytree(SOURCE, tree, ignore=shutil.ignore_patterns(".git"))
-    deps = next(line.split("=")[1] for line in open(
-        os.path.join(build, "CMakeCache.txt"), encoding="utf-8") if line.startswith("SNIPEWORKS_DEPS"))
-    run("cmake", "-S", tree, "-B", out, "-G", "Ninja", "-DCMAKE_BUILD_TYPE=Debug",
-        f"-DSNIPEWORKS_DEPS={deps.strip()}")
+    run("cmake", "-S", tree, "-B", out, "-G", "Ninja", "-DCMAKE_BUILD_TYPE=Debug")
     survivors = 0
     for name, path, text, replacement, tests in MUTATIONS:
         if chosen and name not in chosen:
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -3,7 +3,7 @@
 usage: run.py BIN [SEED [SECONDS [--controls N] [--entries N] [--groups N]]]
 
 Faults: processes killed, paused and restarted, targets that drain, control hosts that
-lose their disk, and connections that a loopback proxy delays, resets, silences or cuts
+lose their disk or cannot write to it, and connections that a loopback proxy delays, resets, silences or cuts
 one way. They come in series and overlap. Checked, from what callers, targets and the
 operator see:
   - a success over all shards is right, record by record, and of one version's shards;
@@ -18,6 +18,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -203,16 +204,18 @@
         controls = sorted(name for name in processes if name.startswith("control"))
         others = sorted(name for name in processes if not name.startswith("control"))
         kind = self.random.choice(["kill", "pause", "drain", "kill control", "pause control",
-                                   "wipe control", "silent", "cut-out", "cut-back", "delay",
+                                   "wipe control", "fill control", "silent", "cut-out", "cut-back", "delay",
                                    "reset", "term entry"])
         self.count(f"fault: {kind}")
         length = self.random.uniform(0.3, 2.5)
-        if kind in ("kill control", "pause control", "wipe control"):
+        if kind in ("kill control", "pause control", "wipe control", "fill control"):
             # One control host at a time: three of them bear the loss of one.
             name = self.random.choice(controls)
             if any(not processes[one].alive() or getattr(processes[one], "away", False)
                    for one in controls):
                 return time.time(), lambda: None
+            if kind == "fill control":
+                return self.fill_disk(processes[name], time.time() + length)
             return self.take_away(name, kind, time.time() + length)
         if kind in ("silent", "cut-out", "cut-back", "delay", "reset"):
             proxy = self.random.choice(self.deployment.proxies)
@@ -255,6 +258,24 @@
         # A host that was away counts again a while after it is back.
         return until, lambda: self.bring_back(process)
 
+    def fill_disk(self, process, until):
+        """No file of the process can grow, its log included."""
+        process.away = True
+        self.note(f"fill {process.name}")
+        pid = process.handle.pid
+        _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, most))
+
+        def empty():
+            self.note(f"room for {process.name}")
+            if not process.alive():
+                self.fail(f"{process.name} ended on a full disk")
+                process.restart()
+            else:
+                resource.prlimit(pid, resource.RLIMIT_FSIZE, (most, most))
+            self.settle(process)
+        return until, empty
+
     def resume(self, process, entry):
         """Lets it go on with what it held and believed when it was stopped."""
         self.note(f"resume {process.name}")
