--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -68,6 +68,8 @@
   /// Set for a request that is passed on as its caller sent it.
   std::shared_ptr<const ForwardedRequest> forwarded;
   Duration budget{};  ///< Time left, passed on to the target.
+  /// The target is in another availability zone than this host.
+  bool other_zone = false;
   /// True if the attempt may not use a connection that has been idle.
   bool fresh_connection = false;
   bool repeatable = true;  ///< False if it may run once at most.
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -45,6 +45,7 @@
   kMembers,
   kStoreFailed,
   kStoreReopened,
+  kTraffic,
   kStalled,
   kLinesDropped,
 };
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -75,6 +75,7 @@
   void OnRouting(const Routing& routing);
   void OnConditions(const std::vector<TargetCondition>& conditions);
   void LogReadiness();
+  void LogTraffic(Instant now);
   void CloseIfIdle(const std::function<void()>& done);
   std::string MetricsPage();
 
@@ -100,6 +101,7 @@
   std::uint64_t successes_ = 0;
   Instant started_{};
   Instant last_turn_{};
+  Instant traffic_due_{};
   bool leaving_ = false;
   bool told_ready_ = false;
 };
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -42,6 +42,8 @@
   Duration max_idle = std::chrono::seconds(60);
   /// True if a connection that has been idle may not be used.
   bool fresh_connection = false;
+  /// The called side is in another availability zone. For the counters only.
+  bool other_zone = false;
   /// An answer that has this header with another value belongs to another
   /// call: it is dropped, and the call goes on waiting. Empty for no check.
   HttpHeader echo;
@@ -88,12 +90,26 @@
                           const HttpClientLimits&) = default;
 };
 
+/// What a client sent and got, in calls, connections and bytes.
+struct HttpVolume {
+  std::uint64_t calls = 0;
+  std::uint64_t connections = 0;  ///< That were opened.
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+
+  friend auto operator<=>(const HttpVolume&, const HttpVolume&) = default;
+};
+
 /// Counters of a client since its start.
 struct HttpClientTraffic {
-  std::uint64_t calls = 0;
-  std::uint64_t connections_opened = 0;
+  HttpVolume own_zone;
+  HttpVolume other_zone;
   std::uint64_t connections_failed = 0;
   std::uint64_t answers_too_large = 0;
+
+  std::uint64_t connections_opened() const {
+    return own_zone.connections + other_zone.connections;
+  }
 };
 
 /// An HTTP/1.1 client on the event loop, with a limited pool of connections to
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -127,6 +127,20 @@
       OneGauge(registry,
                "snipeworks_target_connections_opened",
                "Connections opened to targets since the start");
+  Family<Gauge>& target_bytes =
+      BuildGauge()
+          .Name("snipeworks_target_bytes")
+          .Help("Bytes sent to and received from targets, by their zone")
+          .Register(registry);
+  std::array<Gauge*, 4> bytes_of = {
+      &target_bytes.Add({{"zone", "own"}, {"direction", "sent"}}),
+      &target_bytes.Add({{"zone", "own"}, {"direction", "received"}}),
+      &target_bytes.Add({{"zone", "other"}, {"direction", "sent"}}),
+      &target_bytes.Add({{"zone", "other"}, {"direction", "received"}})};
+  void SetVolume(std::size_t zone, const HttpVolume& volume) {
+    bytes_of.at(2 * zone)->Set(static_cast<double>(volume.sent_bytes));
+    bytes_of.at(2 * zone + 1)->Set(static_cast<double>(volume.received_bytes));
+  }
   Gauge& answers_too_large =
       OneGauge(registry,
                "snipeworks_target_answers_too_large",
@@ -198,7 +212,9 @@
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
   impl_->connections.Set(static_cast<double>(gauges.connections));
   impl_->target_connections.Set(
-      static_cast<double>(gauges.targets_traffic.connections_opened));
+      static_cast<double>(gauges.targets_traffic.connections_opened()));
+  impl_->SetVolume(0, gauges.targets_traffic.own_zone);
+  impl_->SetVolume(1, gauges.targets_traffic.other_zone);
   impl_->answers_too_large.Set(
       static_cast<double>(gauges.targets_traffic.answers_too_large));
   impl_->sent.Set(static_cast<double>(gauges.peers.bytes_sent));
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -82,6 +82,8 @@
              "a write to the disk failed"},
     EventRow{EventKind::kStoreReopened, "store_reopened", true,
              "the disk takes writes again"},
+    EventRow{EventKind::kTraffic, "traffic", false,
+             "what went to targets and control hosts since the start"},
     EventRow{EventKind::kStalled, "stalled", true,
              "the program did not run for a while"},
     EventRow{EventKind::kLinesDropped, "lines_dropped", true,
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -58,6 +58,7 @@
   call.headers.push_back({names_.expected_target, command.target});
   call.timeout = command.budget + kRunMargin;
   call.connect_timeout = kConnectTimeout;
+  call.other_zone = command.other_zone;
   call.fresh_connection = command.fresh_connection;
   if (!command.repeatable) {
     call.max_idle = kFreshEnough;
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kMaxTick = milliseconds(20);
 // A loop that did not turn for so long is told in the log.
 constexpr Duration kStall = milliseconds(1000);
+constexpr Duration kTrafficInterval = milliseconds(5000);
 // One success in so many is written to the log.
 constexpr std::uint64_t kSuccessSample = 64;
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
@@ -394,10 +395,31 @@
     SetNextTimer();
   }
   reach_.Update(now, feed_.quorum_in_reach(now));
+  LogTraffic(now);
   LogReadiness();
   log_.FlushIfDue(now);
 }
 
+void ForwardHost::LogTraffic(Instant now) {
+  if (now < traffic_due_) {
+    return;
+  }
+  traffic_due_ = now + kTrafficInterval;
+  const HttpVolume& own = gateway_.traffic().own_zone;
+  const HttpVolume& other = gateway_.traffic().other_zone;
+  log_.Write(EventKind::kTraffic,
+             {{"own_calls", own.calls},
+              {"own_connections", own.connections},
+              {"own_sent", own.sent_bytes},
+              {"own_received", own.received_bytes},
+              {"other_calls", other.calls},
+              {"other_connections", other.connections},
+              {"other_sent", other.sent_bytes},
+              {"other_received", other.received_bytes},
+              {"peer_sent", peers_.traffic().bytes_sent},
+              {"peer_received", peers_.traffic().bytes_received}});
+}
+
 bool ForwardHost::IsElsewhere(const std::string& target) const {
   const Announcement* known = searches_.view().Find(target);
   return known != nullptr && known->zone != settings_.zone();
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -104,11 +104,11 @@
 
   HttpCallId Send(HttpCall call, Done done) {
     const HttpCallId id = next_++;
-    ++traffic_.calls;
     HttpTransfer& added = transfers_[id];
     added.id = id;
     added.call = std::move(call);
     added.done = std::move(done);
+    ++VolumeOf(added).calls;
     added.ends = MonotonicNow() + added.call.timeout;
     timers_.Add(added.ends, id);
     SetTimer();
@@ -177,6 +177,10 @@
     OwnerOf(connection).held_ += bytes;
   }
 
+  HttpVolume& VolumeOf(const HttpTransfer& transfer) {
+    return transfer.call.other_zone ? traffic_.other_zone : traffic_.own_zone;
+  }
+
   void Release(HttpTransfer& transfer) {
     held_ -= std::exchange(transfer.held, 0);
   }
@@ -281,7 +285,7 @@
     connection->transfer = &transfer;
     transfer.connection = connection;
     ++route.open;
-    ++traffic_.connections_opened;
+    ++VolumeOf(transfer).connections;
     connections_.push_back(connection);
     uv_tcp_init_ex(loop_.raw(), &connection->handle, AF_INET);
     connection->handle.data = connection;
@@ -349,6 +353,7 @@
     ++connection.calls;
     connection.out = Serialize(transfer.call);
     connection.sent = true;
+    VolumeOf(transfer).sent_bytes += connection.out.size();
     auto* stream = reinterpret_cast<uv_stream_t*>(&connection.handle);
     uv_buf_t buffer = uv_buf_init(connection.out.data(),
                                   static_cast<unsigned>(connection.out.size()));
@@ -380,6 +385,7 @@
     }
     HttpTransfer& transfer = *connection.transfer;
     transfer.received += bytes.size();
+    VolumeOf(transfer).received_bytes += bytes.size();
     const std::size_t used = http_parser_execute(
         &connection.parser, &callbacks_, bytes.data(), bytes.size());
     const bool too_large = transfer.received > limits_.answer_bytes ||
--- a/src/libsnipeworks/http_client_test.cpp
+++ b/src/libsnipeworks/http_client_test.cpp
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include "http_client_state.h"
 #include "test_sockets_test.h"
 
 namespace snipeworks {
@@ -165,7 +166,7 @@
     });
   }
   loop.Run();
-  EXPECT_EQ(client.traffic().connections_opened, 1U);
+  EXPECT_EQ(client.traffic().connections_opened(), 1U);
 }
 
 TEST(HttpClients, CloseTheConnectionOfACallThatIsGivenUp) {
@@ -432,5 +433,28 @@
   EXPECT_EQ(bodies, (std::vector<std::string>{"1.", "2."}));
 }
 
+TEST(HttpClients, CountWhatCrossesZones) {
+  const ScriptedServer server({[](const Socket& socket) {
+    AnswerOnce(socket, kWholeAnswer);
+    AnswerOnce(socket, kWholeAnswer);
+  }});
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpCall call;
+  call.address = server.address();
+  call.method = "GET";
+  call.path = "/";
+  call.other_zone = true;
+  client.Send(call, [&](const HttpCallResult&) {
+    call.other_zone = false;
+    client.Send(call, [&](const HttpCallResult&) { loop.Stop(); });
+  });
+  loop.Run();
+  const std::uint64_t sent = Serialize(call).size();
+  const std::uint64_t received = std::string(kWholeAnswer).size();
+  EXPECT_EQ(client.traffic().other_zone, (HttpVolume{1, 1, sent, received}));
+  EXPECT_EQ(client.traffic().own_zone, (HttpVolume{1, 0, sent, received}));
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -280,6 +280,7 @@
   command.forwarded = search.request().forwarded;
   command.repeatable = search.request().repeatable;
   command.budget = search.deadline() - now;
+  command.other_zone = target.zone != config_.zone;
   command.fresh_connection = sole && !search.lost_targets.empty();
   command.trace_parent = search.request().trace_parent;
   actions_.emplace_back(StartAttempt{std::move(command)});
