Send callers of a cut zone back when the balancer has looked away

Change: where a control host of the own zone answers, the zone is cut and not the host alone: callers are told the time that the balancer still takes to look away. A host that is cut off alone says 10 ms as before.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -55,6 +55,8 @@
   bool informed() const { return informed_; }
   /// True if a control host that hears a leader with a quorum answered lately.
   bool quorum_in_reach(Instant now) const;
+  /// True if a control host of the own zone answered lately.
+  bool zone_in_reach(Instant now) const;
   /// Control hosts that answered lately.
   std::size_t connected(Instant now) const;
 
--- a/src/include/snipeworks/reach_monitor.h
+++ b/src/include/snipeworks/reach_monitor.h
@@ -26,6 +26,17 @@
 
   bool cut_off() const { return cut_off_; }
 
+  /// When a caller that is turned away may come back. `zone_in_reach`: other
+  /// hosts of this zone are in reach. `balancer_lag`: how long the balancer
+  /// takes to look away from a host that is not ready.
+  ///
+  /// Load pattern: a whole zone is cut off, and callers that come back at once
+  /// meet another host of it, which turns them away again; where this host
+  /// alone is cut off, any other serves them at once.
+  Duration ReturnAfter(Instant now,
+                       bool zone_in_reach,
+                       Duration balancer_lag) const;
+
  private:
   void Forget();
 
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -79,6 +79,14 @@
   });
 }
 
+bool ControlFeed::zone_in_reach(Instant now) const {
+  return std::ranges::any_of(sources_, [&](const auto& entry) {
+    const Source& source = entry.second;
+    return source.answered && source.zone == zone_ &&
+           now - source.heard < kAnswerDue;
+  });
+}
+
 // Hosts that answer are preferred, then those in touch with a quorum, then
 // those of the own zone; the rest get a call now and then, so that one that has
 // come back is found.
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -29,8 +29,6 @@
 // routes within about this time; a caller that comes back sooner meets the
 // same refusal.
 constexpr Duration kUsualStart = milliseconds(800);
-// Another host serves the caller at once.
-constexpr Duration kCutOffRetryAfter = milliseconds(10);
 constexpr Duration kIdleCheck = milliseconds(50);
 // Before the limit of a shutdown, so that the last answers get out.
 constexpr Duration kLastAnswers = milliseconds(400);
@@ -245,7 +243,8 @@
   if (reach_.cut_off() && !ZoneCanServe(now, *plan)) {
     Reject(exchange, request,
            {ErrorKind::kNotReady, "this host is cut off from other zones",
-            kCutOffRetryAfter});
+            reach_.ReturnAfter(now, feed_.zone_in_reach(now),
+                               milliseconds(settings_.shutdown_hold_ms()))});
     return;
   }
   const Duration timeout = milliseconds(route->timeout_ms);
--- a/src/libsnipeworks/reach_monitor.cpp
+++ b/src/libsnipeworks/reach_monitor.cpp
@@ -1,5 +1,7 @@
 #include "snipeworks/reach_monitor.h"
 
+#include <algorithm>
+
 namespace snipeworks {
 
 namespace {
@@ -9,6 +11,8 @@
 // Longer than pauses of targets last.
 constexpr Duration kSilence = milliseconds(400);
 constexpr std::size_t kAttempts = 8;
+// Another host serves the caller at once.
+constexpr Duration kElsewhere = milliseconds(10);
 // After this long the host tries again, whatever it hears.
 constexpr Duration kLongest = std::chrono::seconds(8);
 
@@ -43,4 +47,11 @@
   }
 }
 
+Duration ReachMonitor::ReturnAfter(Instant now,
+                                   bool zone_in_reach,
+                                   Duration balancer_lag) const {
+  const Instant looked_away = cut_off_at_ + balancer_lag;
+  return zone_in_reach ? std::max(kElsewhere, looked_away - now) : kElsewhere;
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/reach_monitor_test.cpp
+++ b/src/libsnipeworks/reach_monitor_test.cpp
@@ -71,5 +71,25 @@
   EXPECT_TRUE(monitor.cut_off());
 }
 
+// The balancer looks away from every host of the zone after its lag.
+TEST(Reach, SendsCallersOfACutZoneBackWhenTheyMeetAnotherZone) {
+  constexpr Duration kLag = milliseconds(3000);
+  ReachMonitor reach;
+  Instant now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    reach.OnSent(now);
+  }
+  now += milliseconds(500);
+  reach.Update(now, false);
+  ASSERT_TRUE(reach.cut_off());
+  const Instant cut = now;
+  EXPECT_EQ(reach.ReturnAfter(cut, true, kLag), kLag);
+  EXPECT_EQ(reach.ReturnAfter(cut + milliseconds(2000), true, kLag),
+            milliseconds(1000));
+  EXPECT_LE(reach.ReturnAfter(cut + milliseconds(4000), true, kLag),
+            milliseconds(10));
+  EXPECT_LE(reach.ReturnAfter(cut, false, kLag), milliseconds(10));
+}
+
 }  // namespace
 }  // namespace snipeworks
