Tell other control hosts of entry hosts seldom, and let gone ones be forgotten

Cause: twice a second each control host sent each other one the names of all entry hosts that it had heard of lately, about 80 of 195. And it counted those that others had told it of, and told of them in turn: a host that was gone was kept alive by the talk between control hosts, so the number of hosts that share budgets and connections never fell.

Change: HostRoster, without I/O: only hosts that ask this control host itself are passed on, new ones at once, others every 15 s of the 60 s for which they are remembered.

Measured: HostRosters.*: each of 200 hosts is told 4 or 5 times a minute, not 120 times; two rosters forget a host 60 s after it was last heard.

--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -12,6 +12,7 @@
 #include "snipeworks/condition_board.h"
 #include "snipeworks/control_calls.h"
 #include "snipeworks/event_log.h"
+#include "snipeworks/host_roster.h"
 #include "snipeworks/membership_messages.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/target_directory.h"
@@ -98,7 +99,7 @@
   std::uint64_t epoch_;
   std::vector<HeldWatch> watches_;
   std::map<std::string, Peer> others_;
-  std::map<std::string, Instant> entry_hosts_;
+  HostRoster roster_;
   /// The newest versions, for what has changed since.
   std::deque<Routing> versions_;
   /// Replies to hosts that are at the same version: version and text.
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -31,8 +31,6 @@
 constexpr Duration kSpreadPatience = milliseconds(150);
 constexpr int kDifferingReplies = 2;
 constexpr Duration kFullInterval = milliseconds(1500);
-// Entry hosts that are down for less than this keep their part of the budgets.
-constexpr Duration kEntryHostMemory = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -141,11 +139,7 @@
       message.samples.push_back(sample);
     }
   }
-  for (const auto& [host, heard] : entry_hosts_) {
-    if (now - heard < kWatchHold * 3) {
-      message.entry_hosts.push_back(host);
-    }
-  }
+  message.entry_hosts = roster_.TakeNews(now, address);
   peer.calling = true;
   peers_.Call(address, kControlGossipPath, Encode(message), kGossipTimeout,
               [this, address, waiting = std::exchange(peer.waiting, {})](
@@ -173,6 +167,7 @@
   const auto reply =
       result ? Decode<GossipReply>(*result) : std::optional<GossipReply>();
   if (!reply) {
+    roster_.NotTold(address);
     peer.next_call = now + kGossipPause;
     return;
   }
@@ -217,7 +212,7 @@
     }
   }
   for (const std::string& host : message->entry_hosts) {
-    entry_hosts_[host] = now;
+    roster_.HearOf(now, host);
   }
   conditions_.Add(now, message->samples);
   reply(Encode(GossipReply{ServingDigest(directory_.view())}));
@@ -360,7 +355,7 @@
     return;
   }
   const Instant now = MonotonicNow();
-  entry_hosts_[request->host] = now;
+  roster_.Hear(now, request->host);
   const ControlView view = view_();
   if (HasNews(now, *request, view)) {
     reply(Encode(ReplyTo(*request, view)));
@@ -389,7 +384,7 @@
 }
 
 std::uint32_t ControlMembership::entry_hosts() const {
-  return static_cast<std::uint32_t>(entry_hosts_.size());
+  return static_cast<std::uint32_t>(roster_.size());
 }
 
 // Targets are given up only by a host that has been in touch with the quorum
@@ -415,9 +410,7 @@
       LogChange(*directory_.view().Find(target), "silence");
     }
   }
-  std::erase_if(entry_hosts_, [&](const auto& entry) {
-    return now - entry.second > kEntryHostMemory;
-  });
+  roster_.Prune(now);
   if (now >= conditions_due_) {
     conditions_due_ = now + kConditionInterval;
     conditions_.Publish(now);
