--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -1,7 +1,9 @@
 #include "entry_api.h"
 
+#include <exception>
 #include <utility>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "snipeworks/caller_api.h"
@@ -29,6 +31,10 @@
 
 HttpResponse ToHttp(const ActionAnswer& answer) {
   json document = json::parse(answer.body, nullptr, false);
+  if (!document.is_object()) {
+    LOG(ERROR) << "event=action_answer_unreadable size=" << answer.body.size();
+    document = json::object();
+  }
   document["ran"] = "yes";
   document["replayed"] = answer.replayed;
   HttpResponse response;
@@ -102,7 +108,18 @@
       return;
     }
   }
-  listener_->Answer(exchange, Route(request));
+  listener_->Answer(exchange, RouteSafely(request));
+}
+
+// Operators' bodies are read by a library that throws.
+HttpResponse EntryApi::RouteSafely(const HttpRequest& request) {
+  try {
+    return Route(request);
+  } catch (const std::exception& error) {
+    LOG(ERROR) << "event=handler_failed path=" << request.path << " reason=\""
+               << error.what() << "\"";
+    return Text(500, "the request failed\n");
+  }
 }
 
 HttpResponse EntryApi::Route(const HttpRequest& request) {
@@ -233,7 +250,11 @@
   if (!reader.ok()) {
     return Text(400, reader.fault() + "\n");
   }
-  const bool cut = document->value("cut", true);
+  const auto cut_field = document->find("cut");
+  if (cut_field != document->end() && !cut_field->is_boolean()) {
+    return Text(400, "cut: must be true or false\n");
+  }
+  const bool cut = cut_field == document->end() || cut_field->get<bool>();
   host_.peer_client().SetCut(address, cut);
   return Text(200, "ok\n");
 }
--- a/src/snipe-entry/entry_api.h
+++ b/src/snipe-entry/entry_api.h
@@ -29,6 +29,7 @@
   void OnRequest(ExchangeId exchange, const HttpRequest& request);
   /// The answer to a request that is not a search or an action.
   HttpResponse Route(const HttpRequest& request);
+  HttpResponse RouteSafely(const HttpRequest& request);
   void OnSearch(ExchangeId exchange,
                 const std::string& group,
                 const HttpRequest& request);
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -56,6 +56,12 @@
             problem = json.loads(answer)
             check(problem["ran"] == "no" and problem["detail"], "says why, and that it was not run")
     check(http("GET", address, "/v1/nothing")[0] == 404, "unknown path")
+    # What cannot be read ends the request and not the host.
+    for path in ("/v1/faults", "/v1/quarantine/release", "/v1/announcements"):
+        for body in ({"address": "127.0.0.1:1", "cut": "no"}, {"fingerprint": 7}, [1], "x", None):
+            status = http("POST", address, path, body)[0]
+            check(status in (200, 400, 404, 500), f"{path} {body}: {status}")
+    check(fleet.search("lots", "after bad input")[0] == 200, "the host goes on")
     # A caller that sends half a request and waits holds up nobody.
     slow = socket.create_connection(tuple(address.split(":")))
     slow.sendall(b"POST /v1/groups/lots/search HTTP/1.1\r\nContent-Length: 50\r\n\r\n{")
