Tell a control host that came back only of drains that it does not know

Cause: read again, each of hundreds of entry hosts would tell a control host that has started anew of every target that drained in half an hour. Change: those that its first answer names as draining are left out, so hosts that ask later tell nothing. Measured: testsuite/leaving_targets passes.

--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -197,7 +197,15 @@
   // not bring a target back that took its last work before.
   if (source.epoch != 0 && source.epoch != reply->epoch) {
     for (const Announcement& news : handlers_.drained()) {
-      TellLeaving(news);
+      // Others have told it already, or it has kept it.
+      const bool known =
+          std::ranges::any_of(reply->changes, [&](const Announcement& change) {
+            return change.target == news.target &&
+                   change.state == TargetState::kDraining;
+          });
+      if (!known) {
+        TellLeaving(news);
+      }
     }
   }
   source.epoch = reply->epoch;
