--- a/src/libsnipeworks/fake_targets_test.h
+++ b/src/libsnipeworks/fake_targets_test.h
@@ -237,6 +237,16 @@
   std::map<AttemptId, Open> open;
 };
 
+/// Enough searches that latencies are learnt and every query is known.
+inline void WarmUp(FakeTargets& fake, int searches = 60) {
+  for (int i = 0; i < searches; ++i) {
+    fake.Search("q");
+    fake.Run(std::chrono::milliseconds(25));
+  }
+  fake.sent.clear();
+  fake.commands.clear();
+}
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_LIBSNIPEWORKS_FAKE_TARGETS_TEST_H_
