Cut off no answer that its caller reads slowly

Cause, found on reading the change again: a connection that closes after its answer was dropped one second after the answer was handed over, sent or not; a caller that read 16 MB after 2 s got 3.9 MB of it.

Change: the second runs from when all has been sent, which may take as long as a request; listeners count what has not been sent as unfinished.

Measured: Listeners.AreNotFinishedBeforeTheirAnswersHaveLeft fails before (3,919,872 of 16,777,216 bytes) and passes after.

--- a/src/include/snipeworks/http_listener.h
+++ b/src/include/snipeworks/http_listener.h
@@ -72,8 +72,9 @@
 
   /// Requests that have not been answered.
   std::size_t open_exchanges() const;
-  /// Those, requests that are being read, and connections so new that their
-  /// first request may be on its way.
+  /// Those, requests that are being read, answers that have not all been handed
+  /// to the network, and connections so new that their first request may be on
+  /// its way.
   std::size_t unfinished() const;
   /// Open connections now, and the most there were at once.
   std::size_t connections() const;
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -167,7 +167,8 @@
         std::ranges::count_if(connections_, [&](const auto& entry) {
           const Connection& connection = *entry.second;
           return connection.exchange != 0 || connection.in_request ||
-                 !connection.pending.empty() || connection.MayBeginSoon(now);
+                 !connection.pending.empty() || connection.HasUnsent() ||
+                 connection.MayBeginSoon(now);
         }));
   }
   std::size_t connections() const { return connections_.size(); }
@@ -205,6 +206,11 @@
       return !used && !lingering && now - since < kFirstRequestWait;
     }
 
+    bool HasUnsent() const {
+      return uv_stream_get_write_queue_size(
+                 reinterpret_cast<const uv_stream_t*>(&handle)) > 0;
+    }
+
     bool HasUnread() const {
       uv_os_fd_t socket = -1;
       int bytes = 0;
@@ -564,7 +570,12 @@
     auto* shutdown = new uv_shutdown_t;
     const int started = uv_shutdown(
         shutdown, reinterpret_cast<uv_stream_t*>(&connection.handle),
-        [](uv_shutdown_t* request, int) { delete request; });
+        [](uv_shutdown_t* request, int) {
+          // Only now the caller has had what it may need time to read.
+          static_cast<Connection*>(request->handle->data)->since =
+              MonotonicNow();
+          delete request;
+        });
     if (started != 0) {
       delete shutdown;
       Close(connection);
@@ -593,8 +604,10 @@
     std::vector<Connection*> idle;
     for (const auto& [id, connection] : connections_) {
       const Duration age = now - connection->since;
+      const Duration lingers =
+          connection->HasUnsent() ? limits_.request_timeout : kLinger;
       if (connection->lingering
-              ? age > kLinger
+              ? age > lingers
               : connection->Idle() && age > limits_.idle_timeout) {
         idle.push_back(connection);
       } else if (connection->in_request &&
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -297,5 +297,34 @@
   EXPECT_EQ(targets, (std::vector<std::string>{"/1", "/3"}));
 }
 
+// More than the sockets hold, and a caller that reads it later.
+TEST_F(Listeners, AreNotFinishedBeforeTheirAnswersHaveLeft) {
+  answer.body = std::string(std::size_t{16} * 1024 * 1024, 'x');
+  std::atomic<std::size_t> unfinished = 0;
+  std::atomic<bool> asked = false;
+  Play({}, [&](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(600));
+    const auto ask = [&] {
+      asked = false;
+      Post([&] {
+        unfinished = listener->unfinished();
+        asked = true;
+      });
+      while (!asked) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+    };
+    Post([&] { listener->StopAccepting(); });
+    ask();
+    EXPECT_EQ(unfinished, 1U);
+    std::this_thread::sleep_for(milliseconds(1500));
+    EXPECT_GT(caller.ReadAll().size(), answer.body.size());
+    ask();
+    EXPECT_EQ(unfinished, 0U);
+  });
+}
+
 }  // namespace
 }  // namespace snipeworks
