Log what identifies a request over all attempts of its callers

Cause: lines named one attempt of a caller by its id, which is another one when the request comes again, so logs could not tell whether targets that ended had been given the same request. Attempts and requests now carry the fingerprint (method, host name, path, body), also once their search has ended; explain counts the targets whose connections broke under the same fingerprint; the gauge of refused fingerprints, which forwarding hosts never set, is set. No decision changes.

--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -111,6 +111,15 @@
   bool leases = true;
 };
 
+/// What an attempt without an outcome is for.
+struct OpenAttempt {
+  RequestId request = 0;  ///< May have got its answer already.
+  std::string target;
+  Fingerprint fingerprint = 0;  ///< Of the request.
+
+  friend auto operator<=>(const OpenAttempt&, const OpenAttempt&) = default;
+};
+
 class SearchEngine;
 
 /// Runs searches from admission to answer: pins a snapshot, chooses replicas,
@@ -185,9 +194,8 @@
   const TargetView& view() const;
   /// Connections that this host may hold to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
-  /// The request and the target of an attempt that has no outcome yet; 0 and
-  /// empty for others.
-  std::pair<RequestId, std::string> AttemptOf(AttemptId attempt) const;
+  /// What an attempt that has no outcome yet is for; empty for others.
+  OpenAttempt AttemptOf(AttemptId attempt) const;
   /// Searches that have no answer yet.
   std::size_t running() const;
   /// Parts that wait for a slot.
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -458,13 +458,15 @@
       gateway_.SetShare(command.address, searches_.ConnectionShare(*target));
     }
     if (command.kind != AttemptKind::kPrimary) {
-      log_.Write(EventKind::kAttempt,
-                 {{"request", command.forwarded->request_id},
-                  {"attempt", command.id},
-                  {"kind", ToString(command.kind)},
-                  {"group", command.group},
-                  {"target", command.target},
-                  {"budget_ms", command.budget}});
+      log_.Write(
+          EventKind::kAttempt,
+          {{"request", command.forwarded->request_id},
+           {"attempt", command.id},
+           {"kind", ToString(command.kind)},
+           {"fingerprint", std::to_string(command.forwarded->fingerprint)},
+           {"group", command.group},
+           {"target", command.target},
+           {"budget_ms", command.budget}});
     }
     gateway_.Start(command);
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
@@ -491,7 +493,7 @@
 
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
   metrics_.OnOutcome(outcome.status);
-  const auto [request, target] = searches_.AttemptOf(attempt);
+  const auto [request, target, fingerprint] = searches_.AttemptOf(attempt);
   if (HasResponded(outcome) && IsElsewhere(target)) {
     reach_.OnResponse();
   }
@@ -506,6 +508,7 @@
                          : running->second.request.forwarded->request_id},
          {"attempt", attempt},
          {"target", target},
+         {"fingerprint", std::to_string(fingerprint)},
          {"outcome", ToString(outcome.status)},
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"retry_after_ms", outcome.retry_after}});
@@ -558,6 +561,7 @@
       EventKind::kRequest,
       {{"request", running.request.forwarded->request_id},
        {"route", running.request.group},
+       {"fingerprint", std::to_string(running.request.forwarded->fingerprint)},
        {"routing_version", running.request.plan->version},
        {"outcome", finish.result ? (whole ? "complete" : "partial")
                                  : RowOf(finish.result.error().kind).name},
@@ -586,6 +590,7 @@
       std::ranges::count_if(all, [&](const Announcement* one) {
         return searches_.view().Usable(now, one->target) != nullptr;
       }));
+  gauges.quarantined = searches_.Quarantined(now).size();
   gauges.settings_version = feed_.routing_version();
   gauges.ready = ready();
   gauges.cut_off = reach_.cut_off();
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -114,8 +114,7 @@
   return impl_->selector().ConnectionShare(target);
 }
 
-std::pair<RequestId, std::string> SearchController::AttemptOf(
-    AttemptId attempt) const {
+OpenAttempt SearchController::AttemptOf(AttemptId attempt) const {
   return impl_->AttemptOf(attempt);
 }
 
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -165,6 +165,15 @@
   return found == groups_.end() ? nullptr : &found->second;
 }
 
+OpenAttempt SearchEngine::AttemptOf(AttemptId id) const {
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return {};
+  }
+  const AttemptRun& run = found->second;
+  return {run.request, run.target, run.fingerprint};
+}
+
 SearchRun* SearchEngine::FindSearch(RequestId id) {
   auto found = searches_.find(id);
   return found == searches_.end() ? nullptr : &found->second;
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -116,12 +116,7 @@
   const TargetView& view() const { return view_; }
   const ReplicaSelector& selector() const { return selector_; }
   ReplicaSelector& selector() { return selector_; }
-  std::pair<RequestId, std::string> AttemptOf(AttemptId id) const {
-    auto found = attempts_.find(id);
-    return found == attempts_.end()
-               ? std::pair<RequestId, std::string>()
-               : std::pair(found->second.request, found->second.target);
-  }
+  OpenAttempt AttemptOf(AttemptId id) const;
   std::size_t running() const { return searches_.size(); }
   std::size_t waiting() const { return queue_.size(); }
 
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -58,10 +58,13 @@
       continue;
     }
     if (TextOf(line, "request") == request_) {
-      own_.push_back(std::move(line));
+      own_.push_back(line);
     } else if (std::ranges::find(kContextEvents, TextOf(line, "event")) !=
                kContextEvents.end()) {
-      changes_.push_back(std::move(line));
+      changes_.push_back(line);
+    }
+    if (TextOf(line, "outcome") == "lost") {
+      lost_.push_back(std::move(line));
     }
   }
   std::ranges::sort(own_, {}, TimeOf);
@@ -127,7 +130,30 @@
       cause += "; " + TextOf(line, "target") + " " + TextOf(line, "outcome");
     }
   }
-  return cause;
+  return cause + SameElsewhere();
+}
+
+// A request that ends its targets comes again under another id.
+std::string Explanation::SameElsewhere() const {
+  std::set<std::string> fingerprints;
+  for (const json& line : own_) {
+    fingerprints.insert(TextOf(line, "fingerprint"));
+  }
+  fingerprints.erase("");
+  std::set<std::string> targets;
+  std::size_t others = 0;
+  for (const json& line : lost_) {
+    if (fingerprints.contains(TextOf(line, "fingerprint"))) {
+      targets.insert(TextOf(line, "target"));
+      others += TextOf(line, "request") != request_ ? 1 : 0;
+    }
+  }
+  if (others == 0) {
+    return {};
+  }
+  return "; the same request came under other ids too: " +
+         std::to_string(targets.size()) +
+         " targets broke the connection while they had it";
 }
 
 std::string Explanation::Text() const {
--- a/src/snipectl/explain.h
+++ b/src/snipectl/explain.h
@@ -28,10 +28,13 @@
  private:
   std::vector<nlohmann::json> Context() const;
   std::string Cause() const;
+  /// What attempts of requests with the same fingerprint ended with.
+  std::string SameElsewhere() const;
 
   std::string request_;
   std::vector<nlohmann::json> own_;      ///< Lines that name the request.
   std::vector<nlohmann::json> changes_;  ///< Of targets and of hosts.
+  std::vector<nlohmann::json> lost_;     ///< Attempts whose target broke off.
 };
 
 }  // namespace snipeworks
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -82,6 +82,14 @@
     lines = text.splitlines()
     check(code == 0 and len(lines) == 4 and "state=gone" in lines[1], text)
     check(lines[3] == "cause: partial; missing g4:late; no hedge beside t9: budget", text)
+    with open(log, "w", encoding="utf-8") as file:
+        for i, request in enumerate(("r3", "r3", "r4")):
+            file.write(f'{{"time":{i},"host":"e{i}","event":"attempt","request":"{request}",'
+                       f'"target":"t{i}","fingerprint":"77","outcome":"lost"}}\n')
+        file.write('{"time":3,"host":"e1","event":"request","request":"r3","fingerprint":"77",'
+                   '"outcome":"targets-failed"}\n')
+    code, text = run(fleet, "snipectl", "explain", "r3", log)
+    check("under other ids too: 3 targets broke" in text, text)
     code, text = run(fleet, "snipectl", "explain", "r2", log)
     check(code == 1 and "sampled out" in text, text)
 
