--- /dev/null
+++ b/src/libsnipeworks/crashing_fleet_test.h
@@ -0,0 +1,357 @@
+#ifndef SNIPEWORKS_LIBSNIPEWORKS_CRASHING_FLEET_TEST_H_
+#define SNIPEWORKS_LIBSNIPEWORKS_CRASHING_FLEET_TEST_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "snipeworks/random.h"
+#include "snipeworks/search_controller.h"
+
+namespace snipeworks {
+
+/// Entry hosts that forward requests to targets which end when they begin to
+/// run certain requests and come back a while later, under a fake clock. Hosts
+/// tell each other of evidence after `evidence_delay`.
+class CrashingFleet {
+ public:
+  struct Caller {
+    Fingerprint fingerprint = 0;
+    std::size_t tries_left = 0;
+    std::shared_ptr<const SearchPlan> plan;
+    bool repeatable = true;
+  };
+
+  CrashingFleet(std::size_t hosts, std::size_t zones)
+      : random(hosts), zones_(zones) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      SearchControllerConfig config;
+      config.host = "entry-" + std::to_string(i);
+      config.fleet_hosts = static_cast<std::uint32_t>(hosts);
+      config.zone = "zone-" + std::to_string(i % zones);
+      config.seed = i + 1;
+      config.spare_connections = 0;
+      config.leases = false;
+      hosts_.push_back(std::make_unique<SearchController>(config));
+    }
+  }
+
+  void AddGroup(const std::string& group, std::size_t targets) {
+    for (std::size_t i = 0; i < targets; ++i) {
+      Target target;
+      Announcement& news = target.news;
+      news.target = group + "-" + std::to_string(i);
+      news.group = group;
+      news.zone = "zone-" + std::to_string(i % zones_);
+      news.address = "10.0.0.1:80";
+      news.slots = 3;
+      news.incarnation = 1;
+      Target& added = targets_[news.target] = target;
+      Announce(added);
+    }
+  }
+
+  /// A plan with the policy of a deployment; one part for each of `groups`.
+  static std::shared_ptr<const SearchPlan> PlanOver(
+      std::vector<std::string> groups) {
+    auto plan = std::make_shared<SearchPlan>();
+    plan->name = groups.front() + "-route";
+    plan->version = 1;
+    GroupPolicy& policy = plan->policy;
+    if (groups.size() > 1) {
+      policy.answer = static_cast<std::int64_t>(AnswerRule::kSoftDeadline);
+      policy.soft_deadline_ms = 150;
+      policy.min_coverage_permille = 890;
+    }
+    policy.objective_ms = 150;
+    policy.max_attempts = 2;
+    policy.canary = static_cast<std::int64_t>(Canary::kOff);
+    policy.probe_silent = 0;
+    policy.slow_start_ms = 0;
+    policy.hedge_percentile = 95;
+    policy.extra_attempts_percent = 20;
+    policy.extra_attempts_slack = 58;
+    policy.other_zone_percent = 200;
+    policy.eject_ms = 1000;
+    plan->groups = std::move(groups);
+    return plan;
+  }
+
+  /// Sends a request through `host`; a caller with tries left sends it again
+  /// through any host when it fails.
+  RequestId Send(std::size_t host, const Caller& caller) {
+    SearchRequest request;
+    request.id = next_request_++;
+    request.group = caller.plan->name;
+    request.plan = caller.plan;
+    request.repeatable = caller.repeatable;
+    request.budget = std::chrono::milliseconds(2500);
+    auto forwarded = std::make_shared<ForwardedRequest>();
+    forwarded->fingerprint = caller.fingerprint;
+    request.forwarded = forwarded;
+    callers_[request.id] = caller;
+    hosts_[host]->Submit(now, request);
+    Drain(host);
+    return request.id;
+  }
+
+  /// Innocent requests, each another one, until `length` has passed.
+  void Traffic(const std::shared_ptr<const SearchPlan>& plan,
+               double per_second,
+               Duration length) {
+    const double gap = -std::log(1.0 - random.Unit()) / per_second;
+    const auto wait = Duration(static_cast<std::int64_t>(gap * 1e6));
+    if (wait > length) {
+      return;
+    }
+    At(now + wait, [this, plan, per_second, left = length - wait] {
+      Send(random.Below(hosts_.size()), {++next_innocent_, 1, plan, true});
+      ++innocents;
+      Traffic(plan, per_second, left);
+    });
+  }
+
+  /// Ends the targets that `chosen` names with all that they were given.
+  void CrashIf(const std::function<bool(const Announcement&)>& chosen) {
+    for (auto& [name, target] : targets_) {
+      if (target.up && chosen(target.news)) {
+        Crash(target);
+      }
+    }
+  }
+
+  void Run(Duration length) {
+    const Instant end = now + length;
+    while (now < end) {
+      Instant next = std::min(end, now + std::chrono::milliseconds(20));
+      if (!events_.empty()) {
+        next = std::min(next, events_.begin()->first);
+      }
+      for (const auto& host : hosts_) {
+        if (auto due = host->NextDue()) {
+          next = std::min(next, *due);
+        }
+      }
+      now = std::max(now, next);
+      while (!events_.empty() && events_.begin()->first <= now) {
+        auto node = events_.extract(events_.begin());
+        node.mapped()();
+      }
+      for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        hosts_[i]->Tick(now);
+        Drain(i);
+      }
+    }
+  }
+
+  /// How a request ended, if it has.
+  const FinishSearch* EndOf(RequestId id) const {
+    auto found = ends_.find(id);
+    return found == ends_.end() ? nullptr : &found->second;
+  }
+
+  Instant now{std::chrono::seconds(1000)};
+  Random random;
+  /// Requests that end each target which begins to run them.
+  std::set<Fingerprint> crashing;
+  Duration evidence_delay = std::chrono::milliseconds(5);
+  std::size_t crashes = 0;  ///< Of targets that ran a crashing request.
+  std::size_t innocents = 0;
+  std::size_t innocents_served = 0;
+  std::size_t innocents_condemned = 0;  ///< Ended as breaking targets.
+  /// Attempts that arrived at targets of each group: the first ones of each
+  /// part of a request, and all others.
+  std::map<std::string, std::size_t> first_arrivals;
+  std::map<std::string, std::size_t> extra_arrivals;
+
+ private:
+  static constexpr Duration kLink = std::chrono::milliseconds(1);
+  static constexpr Duration kWork = std::chrono::milliseconds(20);
+  static constexpr Duration kDown = std::chrono::milliseconds(2500);
+
+  struct Job {
+    std::size_t host = 0;
+    AttemptCommand command;
+    bool ended = false;
+  };
+  struct Target {
+    Announcement news;
+    bool up = true;
+    std::vector<std::shared_ptr<Job>> running;
+    std::deque<std::shared_ptr<Job>> waiting;
+  };
+
+  void At(Instant when, std::function<void()> what) {
+    events_.emplace(when, std::move(what));
+  }
+
+  void Announce(Target& target) {
+    ++target.news.sequence;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      hosts_[i]->Announce(now, target.news);
+      Drain(i);
+    }
+  }
+
+  void Drain(std::size_t host) {
+    for (const SearchAction& action : hosts_[host]->TakeActions()) {
+      if (const auto* start = std::get_if<StartAttempt>(&action)) {
+        Start(host, start->command);
+      } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+        auto job = jobs_.find({host, cancel->id});
+        if (job != jobs_.end()) {
+          End(job->second, AttemptStatus::kCancelled, Duration{});
+        }
+      } else if (const auto* finish = std::get_if<FinishSearch>(&action)) {
+        Finish(*finish);
+      } else if (const auto* share = std::get_if<ShareEvidence>(&action)) {
+        Share(host, *share);
+      }
+    }
+  }
+
+  void Share(std::size_t host, const ShareEvidence& share) {
+    for (std::size_t other = 0; other < hosts_.size(); ++other) {
+      if (other != host) {
+        At(now + evidence_delay, [this, other, evidence = share.evidence] {
+          hosts_[other]->OnEvidence(now, evidence);
+          Drain(other);
+        });
+      }
+    }
+    if (share.confirm) {
+      At(now, [this, host, fingerprint = share.evidence.fingerprint] {
+        hosts_[host]->OnEvidenceShared(now, fingerprint, false);
+        Drain(host);
+      });
+    }
+  }
+
+  void Start(std::size_t host, const AttemptCommand& command) {
+    auto job = std::make_shared<Job>(Job{host, command});
+    jobs_[{host, command.id}] = job;
+    Target& target = targets_.at(command.target);
+    At(now + kLink, [this, job, &target] {
+      if (job->ended) {
+        return;
+      }
+      if (!target.up) {
+        End(job, AttemptStatus::kNotSent, kLink);
+        return;
+      }
+      const AttemptCommand& arrived = job->command;
+      const bool first =
+          arrived_.insert({job->host, arrived.request, arrived.part}).second;
+      ++(first ? first_arrivals : extra_arrivals)[arrived.group];
+      target.waiting.push_back(job);
+      Work(target);
+    });
+  }
+
+  void Crash(Target& target) {
+    target.up = false;
+    std::vector<std::shared_ptr<Job>> lost = std::exchange(target.running, {});
+    lost.insert(lost.end(), target.waiting.begin(), target.waiting.end());
+    target.waiting.clear();
+    for (const auto& job : lost) {
+      End(job, AttemptStatus::kLost, kLink);
+    }
+    At(now + kDown, [this, &target] {
+      target.up = true;
+      ++target.news.incarnation;
+      target.news.sequence = 0;
+      Announce(target);
+    });
+  }
+
+  void Work(Target& target) {
+    while (target.up && target.running.size() < target.news.slots &&
+           !target.waiting.empty()) {
+      const auto job = target.waiting.front();
+      target.waiting.pop_front();
+      if (job->ended) {
+        continue;
+      }
+      target.running.push_back(job);
+      if (crashing.contains(job->command.forwarded->fingerprint)) {
+        ++crashes;
+        Crash(target);
+        return;
+      }
+      const auto work = Duration(static_cast<std::int64_t>(
+          static_cast<double>(kWork.count()) * (0.5 + random.Unit())));
+      At(now + work, [this, job, &target] {
+        if (std::erase(target.running, job) > 0) {
+          End(job, AttemptStatus::kAnswered, kLink);
+          Work(target);
+        }
+      });
+    }
+  }
+
+  void End(const std::shared_ptr<Job>& job,
+           AttemptStatus status,
+           Duration after) {
+    if (std::exchange(job->ended, true)) {
+      return;
+    }
+    At(now + after, [this, job, status] {
+      AttemptOutcome outcome;
+      outcome.status = status;
+      outcome.snapshot = job->command.snapshot;
+      outcome.part = job->command.part;
+      outcome.documents = 1;
+      jobs_.erase({job->host, job->command.id});
+      hosts_[job->host]->OnOutcome(now, job->command.id, outcome);
+      Drain(job->host);
+    });
+  }
+
+  void Finish(const FinishSearch& finish) {
+    ends_.emplace(finish.id, finish);
+    const Caller caller = callers_.at(finish.id);
+    if (crashing.contains(caller.fingerprint)) {
+      return;
+    }
+    if (finish.result) {
+      ++innocents_served;
+      return;
+    }
+    const ErrorKind kind = finish.result.error().kind;
+    innocents_condemned +=
+        kind == ErrorKind::kQuarantined || kind == ErrorKind::kBrokeTargets ? 1
+                                                                            : 0;
+    if (caller.tries_left > 0) {
+      At(now + std::chrono::milliseconds(20), [this, caller] {
+        Caller again = caller;
+        --again.tries_left;
+        Send(random.Below(hosts_.size()), again);
+      });
+    }
+  }
+
+  std::size_t zones_;
+  std::vector<std::unique_ptr<SearchController>> hosts_;
+  std::map<std::string, Target> targets_;
+  std::map<std::pair<std::size_t, AttemptId>, std::shared_ptr<Job>> jobs_;
+  std::map<RequestId, Caller> callers_;
+  std::set<std::tuple<std::size_t, RequestId, PartNumber>> arrived_;
+  std::map<RequestId, FinishSearch> ends_;
+  std::multimap<Instant, std::function<void()>> events_;
+  RequestId next_request_ = 1;
+  Fingerprint next_innocent_ = 1000;
+};
+
+}  // namespace snipeworks
+
+#endif  // SNIPEWORKS_LIBSNIPEWORKS_CRASHING_FLEET_TEST_H_
--- /dev/null
+++ b/src/libsnipeworks/crashing_request_test.cpp
@@ -0,0 +1,135 @@
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "crashing_fleet_test.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kHosts = 9;
+constexpr std::size_t kZones = 3;
+constexpr std::size_t kShards = 10;
+constexpr Fingerprint kCrashing = 7;
+
+std::vector<std::string> Shards() {
+  std::vector<std::string> shards;
+  for (std::size_t i = 0; i < kShards; ++i) {
+    shards.push_back("shard-" + std::to_string(i));
+  }
+  return shards;
+}
+
+class CrashingRequests : public testing::Test {
+ protected:
+  CrashingRequests() {
+    for (const std::string& shard : Shards()) {
+      fleet_.AddGroup(shard, 3);
+    }
+    fleet_.AddGroup("ledger", 15);
+    fleet_.crashing = {kCrashing};
+  }
+
+  /// Sends the crashing request once a second, through another host each time.
+  void SendForAMinute(const CrashingFleet::Caller& caller) {
+    for (std::size_t i = 0; i < 60; ++i) {
+      last_ = fleet_.Send(i % kHosts, caller);
+      fleet_.Run(seconds(1));
+      ASSERT_NE(fleet_.EndOf(last_), nullptr) << "request " << i << " is held";
+    }
+  }
+
+  void ExpectItWasRefusedAtLast() {
+    const auto& result = fleet_.EndOf(last_)->result;
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().kind, ErrorKind::kQuarantined);
+    EXPECT_GT(result.error().retry_after.value_or(Duration{}), Duration{});
+  }
+
+  CrashingFleet fleet_{kHosts, kZones};
+  std::shared_ptr<const SearchPlan> search_ = CrashingFleet::PlanOver(Shards());
+  std::shared_ptr<const SearchPlan> lookup_ =
+      CrashingFleet::PlanOver({"ledger"});
+  RequestId last_ = 0;
+};
+
+TEST_F(CrashingRequests, ToOneGroupEndTwoTargetsInAMinute) {
+  SendForAMinute({kCrashing, 0, lookup_, true});
+  EXPECT_LE(fleet_.crashes, 2U);
+  ExpectItWasRefusedAtLast();
+}
+
+TEST_F(CrashingRequests, ThatMayRunOnceEndTwoTargetsInAMinute) {
+  SendForAMinute({kCrashing, 0, lookup_, false});
+  EXPECT_LE(fleet_.crashes, 2U);
+  ExpectItWasRefusedAtLast();
+}
+
+// Its first attempts are under way before any of them can tell.
+TEST_F(CrashingRequests, OverAllShardsEndOneTargetOfEachAndOneMoreInAMinute) {
+  SendForAMinute({kCrashing, 0, search_, true});
+  EXPECT_LE(fleet_.crashes, kShards + 1);
+  ExpectItWasRefusedAtLast();
+}
+
+TEST_F(CrashingRequests, AreStoppedWhenEvidenceComesAfterTheNextOneWasSent) {
+  fleet_.evidence_delay = milliseconds(1500);
+  SendForAMinute({kCrashing, 0, lookup_, true});
+  EXPECT_LE(fleet_.crashes, 4U);
+  ExpectItWasRefusedAtLast();
+}
+
+TEST_F(CrashingRequests, DoNotTakeInnocentOnesWithThem) {
+  fleet_.Traffic(search_, 135.0, seconds(30));
+  fleet_.Traffic(lookup_, 45.0, seconds(30));
+  fleet_.Run(seconds(5));
+  for (std::size_t i = 0; i < 20; ++i) {
+    last_ = fleet_.Send(i % kHosts, {kCrashing, 0, i % 2 ? search_ : lookup_});
+    fleet_.Run(seconds(1));
+  }
+  fleet_.Run(seconds(10));
+  ExpectItWasRefusedAtLast();
+  EXPECT_EQ(fleet_.innocents_condemned, 0U);
+  EXPECT_EQ(fleet_.innocents_served, fleet_.innocents);
+}
+
+TEST_F(CrashingRequests, AreNotTakenForWhatRunsWhenAZoneEnds) {
+  fleet_.Traffic(search_, 135.0, seconds(20));
+  fleet_.Traffic(lookup_, 45.0, seconds(20));
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet_.Run(seconds(5));
+    fleet_.CrashIf([i](const Announcement& one) {
+      return one.zone == "zone-" + std::to_string(i);
+    });
+  }
+  fleet_.Run(seconds(10));
+  EXPECT_EQ(fleet_.innocents_condemned, 0U);
+  EXPECT_EQ(fleet_.innocents_served, fleet_.innocents);
+}
+
+// Runs that tell a crashing request from a target that ended by itself are
+// retries like others.
+TEST_F(CrashingRequests, AreToldFromOthersWithinTheRetryBudget) {
+  fleet_.Traffic(lookup_, 600.0, seconds(10));
+  fleet_.Run(seconds(2));
+  for (std::size_t i = 0; i < 20; ++i) {
+    fleet_.CrashIf([&](const Announcement& one) {
+      return one.group == "ledger" && fleet_.random.Below(4) == 0;
+    });
+    fleet_.Run(milliseconds(300));
+  }
+  fleet_.Run(seconds(5));
+  const auto first = static_cast<double>(fleet_.first_arrivals["ledger"]);
+  const auto extra = static_cast<double>(fleet_.extra_arrivals["ledger"]);
+  EXPECT_GT(extra, 0.0);
+  EXPECT_LE(extra, 0.2 * first + 58.0);
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cstdlib>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kRefusedStatus = 503;
+constexpr int kCrashExitCode = 3;
 constexpr int kMisdirectedStatus = 421;
 constexpr Duration kReportTimeout = milliseconds(1000);
 // Work takes between half and one and a half of its plan.
@@ -136,6 +138,12 @@
 void Backend::Begin(Work work) {
   const ExchangeId exchange = work.exchange;
   on_event_("run", std::string(work.request.Header(names_.request_id)));
+  const bool crashes =
+      !plan_.crash_on.empty() &&
+      work.request.target.find(plan_.crash_on) != std::string::npos;
+  if (crashes) {
+    std::_Exit(kCrashExitCode);
+  }
   running_[exchange] = std::move(work);
   const double share = kLeastWork + random_.Unit();
   loop_.After(
--- a/src/snipe-backend/backend.h
+++ b/src/snipe-backend/backend.h
@@ -29,6 +29,7 @@
   Duration work = std::chrono::milliseconds(5);
   Duration report_interval = std::chrono::milliseconds(500);
   Duration drain = std::chrono::milliseconds(3000);
+  std::string crash_on;     ///< Part of a path that ends the process; or empty.
   std::size_t records = 8;  ///< In each answer.
 };
 
--- a/src/snipe-backend/main.cpp
+++ b/src/snipe-backend/main.cpp
@@ -50,6 +50,9 @@
       cxxopts::value<std::uint32_t>()->default_value("3"))(
       "work-us", "Mean work of a request, in microseconds",
       cxxopts::value<std::int64_t>()->default_value("5000"))(
+      "crash-on",
+      "The program ends when a target begins a request whose path has this",
+      cxxopts::value<std::string>()->default_value(""))(
       "history", "File that gets a JSON line for each request that begins",
       cxxopts::value<std::string>()->default_value(""));
   ParsedOptions parsed = ReadOptions(options, argc, argv);
@@ -83,6 +86,7 @@
     ++reported_port;
     plan.controls = Split(parsed.result["controls"].as<std::string>(), ',');
     plan.slots = parsed.result["slots"].as<std::uint32_t>();
+    plan.crash_on = parsed.result["crash-on"].as<std::string>();
     plan.work = Duration(parsed.result["work-us"].as<std::int64_t>());
     const std::size_t index = backends.size();
     backends.push_back(std::make_unique<Backend>(
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -21,7 +21,7 @@
 
 class Deployment:
     def __init__(self, programs, controls=3, entries=2, zones=3, groups=4, network=31,
-                 slots=3, work_us=4000, folder=None):
+                 slots=3, work_us=4000, folder=None, crash_on=None):
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-forward-")
         self.network = network
@@ -35,6 +35,7 @@
         self.work_us = work_us
         self.processes = {}
         self.version = 0
+        self.crash_on = crash_on  # Then each target has a process of its own.
         self.proxies = []  # Between entry hosts and targets, if there are any.
 
     def path(self, name):
@@ -76,7 +77,11 @@
                 here = self.target_address
                 self.proxies += [proxy((here, port + 10 + j), (here, port + j))
                                  for j in range(len(self.groups) + 1)]
-            self.start_targets(f"targets-{zone}", zone, port, port + (10 if proxy else 0))
+            if self.crash_on:
+                for j, group in enumerate(self.groups + ["orders"]):
+                    self.start_targets(f"{group}-{zone}", zone, port + j, port + j, [group])
+            else:
+                self.start_targets(f"targets-{zone}", zone, port, port + (10 if proxy else 0))
         # Settings files say that it is the first start only once.
         wait_for("a first version is taken", lambda: self.replace(self.routes()) == 200, 20)
         for i, address in enumerate(self.controls):
@@ -87,8 +92,9 @@
                      lambda a=address: http("GET", f"{a}:8001", "/ready", timeout=1.0)[0] == 200, 20)
         wait_for("every part answers", lambda: self.whole(), 20)
 
-    def start_targets(self, name, zone, first_port, reported_port):
-        self.launch(name, "snipe-backend", "--groups", ",".join(self.groups + ["orders"]),
+    def start_targets(self, name, zone, first_port, reported_port, groups=None):
+        self.launch(name, "snipe-backend", "--groups", ",".join(groups or self.groups + ["orders"]),
+                    "--crash-on", self.crash_on or "",
                     "--controls", ",".join(f"{one}:8000" for one in self.controls),
                     "--address", self.target_address, "--first-port", str(first_port),
                     "--reported-port", str(reported_port), "--zone", zone, "--slots", str(self.slots),
