Ask a target whose connection broke whether it is there

Cause: to a forwarding host each broken connection was the same, whether its target had ended or only broke off an answer, reset a connection or lost one. A new connection to the address tells, with nothing sent on it: refused means that the target has ended, silence proves nothing, and one that stays open goes into the pool. The attempt ends as lost or as failed accordingly; both are tried again as before, a round trip and 5 ms later.

--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,6 +24,7 @@
 
   ForwardGateway(EventLoop& loop, const ForwardNames& names, OnOutcome done);
 
+  /// The outcome is kLost only if the target is gone.
   void Start(const AttemptCommand& command);
   void Cancel(AttemptId attempt);
   /// Takes back the attempts for `target` that wait for a connection; each ends
@@ -38,8 +40,15 @@
   struct Running {
     HttpCallId call = 0;
     std::string target;
+    std::string address;
+    bool other_zone = false;
+    /// Set while the target is asked whether it is there.
+    std::optional<AttemptOutcome> lost;
   };
 
+  void VerifyLoss(AttemptId attempt, int tries);
+  void Report(AttemptId attempt, const AttemptOutcome& outcome);
+
   const ForwardNames& names_;
   HttpClient client_;
   OnOutcome on_outcome_;
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -42,6 +42,9 @@
   Duration max_idle = std::chrono::seconds(60);
   /// True if a connection that has been idle may not be used.
   bool fresh_connection = false;
+  /// Nothing is sent: the call ends as answered once a new connection, which
+  /// may be one more than the limit, has stayed open for a few milliseconds.
+  bool connect_only = false;
   /// The called side is in another availability zone. For the counters only.
   bool other_zone = false;
   /// An answer that has this header with another value belongs to another
@@ -53,7 +56,7 @@
 enum class HttpCallStatus {
   kAnswered,
   kNotSent,  ///< No connection; no byte of the request was sent.
-  kLost,     ///< Sent, then the connection broke.
+  kLost,     ///< Sent (or only connected), then the connection broke.
   kTimeout,  ///< Sent, and no answer within the call's timeout.
   /// Sent, and what came back was more than the client holds.
   kTooLarge,
@@ -71,6 +74,8 @@
   std::optional<Duration> retry_after;
   /// True if the call went out on a connection that had been used before.
   bool reused_connection = false;
+  /// True if nobody listens at the address.
+  bool refused = false;
 
   /// The value of header `name`, in any case, or empty.
   std::string_view Header(std::string_view name) const {
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -20,6 +20,10 @@
 // A target that is there accepts within a few milliseconds; one that does not
 // is taken for gone, and the request goes elsewhere.
 constexpr Duration kConnectTimeout = milliseconds(250);
+// A target that is there accepts within a round trip; the retry waits for this.
+constexpr Duration kVerifyTimeout = milliseconds(100);
+// While a target ends, its listener may take a connection that breaks at once.
+constexpr int kVerifyTries = 4;
 // A request that may run once goes on a connection that was used this lately:
 // one that its target has just given up would leave open whether it ran.
 constexpr Duration kFreshEnough = milliseconds(500);
@@ -67,13 +71,52 @@
   const HttpCallId sent = client_.Send(
       std::move(call), [this, id = command.id, snapshot = command.snapshot,
                         part = command.part](HttpCallResult&& result) {
-        running_.erase(id);
         AttemptOutcome outcome = ForwardOutcomeOf(std::move(result), names_);
         outcome.snapshot = snapshot;
         outcome.part = part;
-        on_outcome_(id, outcome);
+        if (outcome.status == AttemptStatus::kLost) {
+          running_.at(id).lost = outcome;
+          VerifyLoss(id, kVerifyTries);
+        } else {
+          Report(id, outcome);
+        }
+      });
+  running_[command.id] = {sent, command.target, command.address,
+                          command.other_zone, std::nullopt};
+}
+
+void ForwardGateway::Report(AttemptId attempt, const AttemptOutcome& outcome) {
+  running_.erase(attempt);
+  on_outcome_(attempt, outcome);
+}
+
+// A broken connection can mean that the target has ended, or only the
+// connection: one that has ended refuses a new connection. Silence proves
+// nothing, as the way there may be cut.
+void ForwardGateway::VerifyLoss(AttemptId attempt, int tries) {
+  Running& running = running_.at(attempt);
+  HttpCall call;
+  call.address = running.address;
+  call.connect_only = true;
+  call.timeout = kVerifyTimeout;
+  call.connect_timeout = kVerifyTimeout;
+  call.other_zone = running.other_zone;
+  running.call = client_.Send(
+      std::move(call), [this, attempt, tries](const HttpCallResult& result) {
+        const bool broke =
+            result.status == HttpCallStatus::kLost && !result.refused;
+        if (broke && tries > 1) {
+          VerifyLoss(attempt, tries - 1);
+          return;
+        }
+        AttemptOutcome verified = *running_.at(attempt).lost;
+        if (result.status == HttpCallStatus::kAborted) {
+          verified.status = AttemptStatus::kCancelled;
+        } else if (!result.refused) {
+          verified.status = AttemptStatus::kFailed;
+        }
+        Report(attempt, verified);
       });
-  running_[command.id] = {sent, command.target};
 }
 
 void ForwardGateway::Cancel(AttemptId attempt) {
@@ -85,7 +128,7 @@
 
 void ForwardGateway::Withdraw(const std::string& target) {
   for (const auto& [attempt, running] : running_) {
-    if (running.target == target) {
+    if (running.target == target && !running.lost) {
       client_.AbortUnsent(running.call);
     }
   }
--- a/src/libsnipeworks/forward_gateway_test.cpp
+++ b/src/libsnipeworks/forward_gateway_test.cpp
@@ -52,6 +52,62 @@
   EXPECT_EQ(outcome.retry_after, seconds(2));
 }
 
+/// Sends one attempt to a target whose first connection breaks without an
+/// answer, and returns how it ended. `more` is what becomes of the next ones.
+AttemptStatus EndOfABrokenAttempt(
+    ScriptedServer::Afterwards afterwards,
+    const std::vector<ScriptedServer::Script>& more = {},
+    bool cancelled = false) {
+  const ForwardNames names;
+  std::vector<ScriptedServer::Script> scripts = {
+      [](const Socket& socket) { socket.ReadUntil("\r\n\r\n"); }};
+  scripts.insert(scripts.end(), more.begin(), more.end());
+  const ScriptedServer server(scripts, afterwards);
+  EventLoop loop;
+  AttemptStatus ended = AttemptStatus::kAnswered;
+  ForwardGateway gateway(loop, names,
+                         [&](AttemptId, const AttemptOutcome& outcome) {
+                           ended = outcome.status;
+                           loop.Stop();
+                         });
+  auto message = std::make_shared<SharedRequest>();
+  message->head = "GET / HTTP/1.1\r\n";
+  auto request = std::make_shared<ForwardedRequest>();
+  request->message = message;
+  AttemptCommand command;
+  command.id = 1;
+  command.target = "t1";
+  command.address = server.address();
+  command.budget = seconds(5);
+  command.forwarded = request;
+  gateway.Start(command);
+  if (cancelled) {
+    loop.Every(milliseconds(1), [&] { gateway.Cancel(1); });
+  }
+  loop.Run();
+  return ended;
+}
+
+TEST(ForwardGateways, TellATargetThatHasEndedFromABrokenConnection) {
+  using Afterwards = ScriptedServer::Afterwards;
+  const auto close_at_once = [](const Socket&) {};
+  EXPECT_EQ(EndOfABrokenAttempt(Afterwards::kRefuses), AttemptStatus::kLost);
+  EXPECT_EQ(EndOfABrokenAttempt(Afterwards::kListens), AttemptStatus::kFailed);
+  // A process that ends closes its listener after some of its connections.
+  EXPECT_EQ(EndOfABrokenAttempt(Afterwards::kRefuses, {close_at_once}),
+            AttemptStatus::kLost);
+  // One that has all the connections that it takes is there.
+  EXPECT_EQ(EndOfABrokenAttempt(Afterwards::kListens,
+                                {close_at_once, close_at_once, close_at_once,
+                                 close_at_once, close_at_once}),
+            AttemptStatus::kFailed);
+}
+
+TEST(ForwardGateways, AreNotHeldUpByTheQuestionWhenTheAttemptIsCancelled) {
+  EXPECT_EQ(EndOfABrokenAttempt(ScriptedServer::Afterwards::kListens, {}, true),
+            AttemptStatus::kCancelled);
+}
+
 // The only connection is taken; what waits for it has not been sent.
 TEST(ForwardGateways, WithdrawWhatWaitsForAConnection) {
   const ForwardNames names;
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -29,6 +29,9 @@
 // Bytes that are not acknowledged for this long break a connection.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr Duration kSweepInterval = milliseconds(500);
+// A process that ends closes its sockets one after the other: its listener may
+// take a connection that is reset a moment later.
+constexpr Duration kSettleTime = milliseconds(5);
 // Interim answers and late copies of answers to earlier calls are few.
 constexpr int kMaxPassedOver = 64;
 // What a header takes beside its text.
@@ -237,6 +240,10 @@
 
   // Takes the connection that was used last, opens one, or lets the call wait.
   void Place(HttpRoute& route, HttpTransfer& transfer) {
+    if (transfer.call.connect_only) {
+      Open(route, transfer);
+      return;
+    }
     const Instant now = MonotonicNow();
     if (!transfer.call.fresh_connection) {
       while (!route.idle.empty()) {
@@ -317,6 +324,8 @@
 
   void OnConnected(HttpConnection& connection, int status) {
     if (status != 0) {
+      connection.transfer->result.refused =
+          status == UV_ECONNREFUSED || status == UV_ECONNRESET;
       Fail(connection);
       return;
     }
@@ -342,7 +351,14 @@
             OwnerOf(read).OnEnd(read, size == UV_EOF);
           }
         });
-    Begin(connection, *connection.transfer);
+    if (connection.transfer->call.connect_only) {
+      HttpTransfer& transfer = *connection.transfer;
+      transfer.ends = std::min(transfer.ends, MonotonicNow() + kSettleTime);
+      timers_.Add(transfer.ends, transfer.id);
+      SetTimer();
+    } else {
+      Begin(connection, *connection.transfer);
+    }
   }
 
   void Begin(HttpConnection& connection, HttpTransfer& transfer) {
@@ -470,8 +486,10 @@
     if (!connection.sent) {
       ++traffic_.connections_failed;
     }
+    const bool broke = connection.sent ||
+                       (transfer->call.connect_only && connection.connected);
     transfer->result.status =
-        connection.sent ? HttpCallStatus::kLost : HttpCallStatus::kNotSent;
+        broke ? HttpCallStatus::kLost : HttpCallStatus::kNotSent;
     transfer->connection = nullptr;
     connection.transfer = nullptr;
     const HttpCallId id = transfer->id;
@@ -537,7 +555,10 @@
       HttpTransfer& transfer = found->second;
       HttpConnection* connection = transfer.connection;
       const bool sent = connection != nullptr && connection->sent;
-      if (now >= transfer.ends) {
+      const bool connected = connection != nullptr && connection->connected;
+      if (now >= transfer.ends && connected && transfer.call.connect_only) {
+        Finish(*connection, false);
+      } else if (now >= transfer.ends) {
         EndLater(transfer,
                  sent ? HttpCallStatus::kTimeout : HttpCallStatus::kNotSent);
       } else if (connection != nullptr && !connection->connected &&
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -153,7 +153,7 @@
   }
   return "; the same request came under other ids too: " +
          std::to_string(targets.size()) +
-         " targets broke the connection while they had it";
+         " targets ended while they had it";
 }
 
 std::string Explanation::Text() const {
--- a/src/snipectl/explain.h
+++ b/src/snipectl/explain.h
@@ -34,7 +34,7 @@
   std::string request_;
   std::vector<nlohmann::json> own_;      ///< Lines that name the request.
   std::vector<nlohmann::json> changes_;  ///< Of targets and of hosts.
-  std::vector<nlohmann::json> lost_;     ///< Attempts whose target broke off.
+  std::vector<nlohmann::json> lost_;     ///< Attempts whose target ended.
 };
 
 }  // namespace snipeworks
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -89,7 +89,7 @@
         file.write('{"time":3,"host":"e1","event":"request","request":"r3","fingerprint":"77",'
                    '"outcome":"targets-failed"}\n')
     code, text = run(fleet, "snipectl", "explain", "r3", log)
-    check("under other ids too: 3 targets broke" in text, text)
+    check("under other ids too: 3 targets ended" in text, text)
     code, text = run(fleet, "snipectl", "explain", "r2", log)
     check(code == 1 and "sampled out" in text, text)
 
