Count targets that end under a request whatever canary is set to

What callers saw: a request under which targets end reached max_attempts targets of each part each time it came, and with them went the answers of all others there.

Cause: TakeLoss returned before anything was recorded when the policy's canary was off, as the platform sets it for its latency. A promise hung on a setting of another matter.

Change: the setting decides only which requests run alone without cause. A target that has ended always counts. While no part of a search was answered, its lost parts are held and one is run alone, as a retry within max_attempts and the budget (it used to count as a first attempt, which the budget pays out on, and ran requests that may run once, had they come here). What ends unproved is remembered as a suspicion and shared. A target started again counts as another. Two requests that the same two targets count against are told apart by running alone, for one of them has broken neither. Followers of a suspected request keep its standing when the leader leaves; they fanned out before.

Why it works: whether a request ends targets is known from its own runs alone, each on a target seen alive before it.

--- a/src/include/snipeworks/entry_messages.h
+++ b/src/include/snipeworks/entry_messages.h
@@ -112,11 +112,16 @@
   return std::tie(v.targets);
 }
 
+template <SameStruct<BrokenTarget> S>
+auto WireFields(S& v) {
+  return std::tie(v.target, v.incarnation);
+}
+
 /// The wire form of PoisonEvidence.
 struct EvidenceMessage {
   std::uint64_t fingerprint = 0;
   std::string host;
-  std::vector<std::string> targets;
+  std::vector<BrokenTarget> targets;
   std::int64_t testing_us = 0;
   std::int64_t quarantine_us = 0;
 
--- a/src/include/snipeworks/poison_tracker.h
+++ b/src/include/snipeworks/poison_tracker.h
@@ -21,12 +21,20 @@
 /// The fingerprint of `query` sent to `group`.
 Fingerprint FingerprintOf(std::string_view group, std::string_view query);
 
+/// A start of a target that ended while it had a request.
+struct BrokenTarget {
+  std::string target;
+  std::uint64_t incarnation = 0;
+
+  friend auto operator<=>(const BrokenTarget&, const BrokenTarget&) = default;
+};
+
 /// What one entry host tells the others of a request that breaks targets.
 struct PoisonEvidence {
   Fingerprint fingerprint = 0;
   std::string host;  ///< The entry host that tells.
-  /// Broke while they ran it alone; none if the request was cleared.
-  std::vector<std::string> targets;
+  /// Broke while they had it; none if the request was cleared.
+  std::vector<BrokenTarget> targets;
   Duration testing{};     ///< The teller runs it once more within this time.
   Duration quarantine{};  ///< How long it must not be run; zero if not yet.
 
@@ -36,15 +44,18 @@
 
 /// Remembers which requests survived and which broke targets.
 ///
-/// Only a target that breaks while it runs a request as that request's single
-/// part counts against the request: a target that dies under many requests
-/// condemns none of them.
+/// Two targets that broke put a request in quarantine, unless each of them also
+/// counts against another request: one of the two has broken neither, and which
+/// one is seen when either breaks a target or survives by itself.
+///
+/// Whoever reports counts one target at most for parts that ran beside each
+/// other, so targets that die together condemn none of what they ran.
 class PoisonTracker {
  public:
   enum class Standing {
     kUnknown,      ///< Not seen lately.
     kGood,         ///< Survived on this snapshot.
-    kSuspected,    ///< Broke one target.
+    kSuspected,    ///< A target broke that had it.
     kTested,       ///< Suspected, and another entry host is running it.
     kQuarantined,  ///< Broke two targets.
   };
@@ -61,11 +72,11 @@
                   Fingerprint fingerprint,
                   const SnapshotId& snapshot);
 
-  /// `target` broke under the request. Returns the number of distinct targets
-  /// that did; two or more put it in quarantine.
+  /// `target` broke under the request. Returns the number of targets that did;
+  /// two or more put it in quarantine.
   std::size_t OnBroken(Instant now,
                        Fingerprint fingerprint,
-                       const std::string& target,
+                       const BrokenTarget& target,
                        Duration quarantine);
 
   /// Takes what another host tells. Returns true if the request is now in
@@ -77,6 +88,9 @@
                             Fingerprint fingerprint,
                             const std::string& host) const;
 
+  /// Everything that counts against requests, as EvidenceOf tells it.
+  std::vector<PoisonEvidence> All(Instant now, const std::string& host) const;
+
   /// Requests in quarantine now.
   std::vector<Fingerprint> Quarantined(Instant now) const;
 
@@ -88,7 +102,7 @@
 
  private:
   struct Suspect {
-    std::set<std::string> broken;
+    std::set<BrokenTarget> broken;
     Instant quarantined_until{};
     Instant tested_elsewhere_until{};
     Instant forgotten_at{};
@@ -98,9 +112,20 @@
     Instant forgotten_at{};
   };
 
-  bool Condemn(Instant now, Suspect& suspect, Duration quarantine);
+  using Suspects = std::map<Fingerprint, Suspect>;
+
+  /// The record of a request that targets broke under, a new one if the old one
+  /// has run out; null if there are too many.
+  Suspect* EnsureSuspect(Instant now, Fingerprint fingerprint);
+  void AddBroken(Fingerprint fingerprint,
+                 Suspect& suspect,
+                 const BrokenTarget& target);
+  Suspects::iterator Forget(Suspects::iterator suspect);
+  bool IsQuarantined(Instant now, const Suspect& suspect) const;
 
-  std::map<Fingerprint, Suspect> suspects_;
+  Suspects suspects_;
+  /// The requests that each target counts against.
+  std::map<BrokenTarget, std::set<Fingerprint>> suspects_of_;
   std::map<Fingerprint, Survivor> survivors_;
 };
 
--- a/src/include/snipeworks/policy.h
+++ b/src/include/snipeworks/policy.h
@@ -18,8 +18,9 @@
 /// How a replica is chosen.
 enum class Selection : std::int64_t { kLoad, kRandom };
 
-/// Which requests run on a single part before they fan out.
-enum class Canary : std::int64_t { kUnknown, kSuspected, kOff };
+/// Which requests run on a single part before they fan out. A request under
+/// which a target has ended does so whatever is set.
+enum class Canary : std::int64_t { kUnknown, kSuspected };
 
 /// What operators can set for a service group. All members are whole numbers
 /// so that one table can check, show and document them.
@@ -51,7 +52,10 @@
     return {static_cast<double>(extra_attempts_percent) / 100.0,
             static_cast<double>(extra_attempts_slack)};
   }
-  Canary canary_rule() const { return static_cast<Canary>(canary); }
+  /// The third choice, "off", is that of earlier versions.
+  Canary canary_rule() const {
+    return canary == 0 ? Canary::kUnknown : Canary::kSuspected;
+  }
 
   friend auto operator<=>(const GroupPolicy&, const GroupPolicy&) = default;
 };
--- a/src/include/snipeworks/search_run.h
+++ b/src/include/snipeworks/search_run.h
@@ -97,8 +97,9 @@
   bool overdue = false;
   /// The latest failure that a target answered.
   std::shared_ptr<const TargetAnswer> failure;
-  /// Targets whose connection broke under this search.
-  std::vector<std::string> lost_targets;
+  /// Targets that ended while they had a part of this search, unless a part
+  /// was answered since.
+  std::vector<BrokenTarget> lost_targets;
   AttemptCounts attempts;
 
  private:
--- a/src/libsnipeworks/poison_tracker.cpp
+++ b/src/libsnipeworks/poison_tracker.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/poison_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <xxhash.h>
 
@@ -12,6 +13,8 @@
 constexpr Duration kSurvivorKept = std::chrono::minutes(10);
 // Bounds the memory that a stream of distinct queries can take.
 constexpr std::size_t kMaxSurvivors = 100000;
+// Bounds what requests that targets die under can take, here and on the wire.
+constexpr std::size_t kMaxSuspects = 10000;
 
 }  // namespace
 
@@ -25,7 +28,7 @@
                                                   const SnapshotId& snapshot) {
   auto suspect = suspects_.find(fingerprint);
   if (suspect != suspects_.end() && now < suspect->second.forgotten_at) {
-    if (now < suspect->second.quarantined_until) {
+    if (IsQuarantined(now, suspect->second)) {
       return Standing::kQuarantined;
     }
     if (now < suspect->second.tested_elsewhere_until) {
@@ -42,14 +45,22 @@
   return good ? Standing::kGood : Standing::kUnknown;
 }
 
+bool PoisonTracker::IsQuarantined(Instant now, const Suspect& suspect) const {
+  return now < suspect.quarantined_until &&
+         std::ranges::any_of(suspect.broken, [&](const BrokenTarget& target) {
+           return suspects_of_.at(target).size() == 1;
+         });
+}
+
 Duration PoisonTracker::RefusedFor(Instant now, Fingerprint fingerprint) const {
   auto found = suspects_.find(fingerprint);
   if (found == suspects_.end()) {
     return {};
   }
-  const Instant until = std::max(found->second.quarantined_until,
-                                 found->second.tested_elsewhere_until);
-  return std::max(Duration{}, until - now);
+  const Suspect& suspect = found->second;
+  const Instant held =
+      IsQuarantined(now, suspect) ? suspect.quarantined_until : now;
+  return std::max(held, suspect.tested_elsewhere_until) - now;
 }
 
 void PoisonTracker::OnSurvived(Instant now,
@@ -57,10 +68,10 @@
                                const SnapshotId& snapshot) {
   auto suspect = suspects_.find(fingerprint);
   if (suspect != suspects_.end()) {
-    if (now < suspect->second.quarantined_until) {
+    if (IsQuarantined(now, suspect->second)) {
       return;
     }
-    suspects_.erase(suspect);
+    Forget(suspect);
   }
   if (survivors_.size() >= kMaxSurvivors && !survivors_.contains(fingerprint)) {
     return;
@@ -68,30 +79,57 @@
   survivors_[fingerprint] = {snapshot, now + kSurvivorKept};
 }
 
-bool PoisonTracker::Condemn(Instant now,
-                            Suspect& suspect,
-                            Duration quarantine) {
-  const bool was_held = now < suspect.quarantined_until;
-  if (was_held || suspect.broken.size() < kTargetsToCondemn) {
-    return false;
+PoisonTracker::Suspect* PoisonTracker::EnsureSuspect(Instant now,
+                                                     Fingerprint fingerprint) {
+  survivors_.erase(fingerprint);
+  auto found = suspects_.find(fingerprint);
+  if (found != suspects_.end() && now >= found->second.forgotten_at) {
+    Forget(found);
+    found = suspects_.end();
   }
-  suspect.quarantined_until = now + quarantine;
-  return true;
+  if (found != suspects_.end()) {
+    return &found->second;
+  }
+  if (suspects_.size() >= kMaxSuspects) {
+    Prune(now);
+  }
+  return suspects_.size() < kMaxSuspects ? &suspects_[fingerprint] : nullptr;
+}
+
+void PoisonTracker::AddBroken(Fingerprint fingerprint,
+                              Suspect& suspect,
+                              const BrokenTarget& target) {
+  suspect.broken.insert(target);
+  suspects_of_[target].insert(fingerprint);
+}
+
+PoisonTracker::Suspects::iterator PoisonTracker::Forget(
+    Suspects::iterator suspect) {
+  for (const BrokenTarget& target : suspect->second.broken) {
+    auto others = suspects_of_.find(target);
+    others->second.erase(suspect->first);
+    if (others->second.empty()) {
+      suspects_of_.erase(others);
+    }
+  }
+  return suspects_.erase(suspect);
 }
 
 std::size_t PoisonTracker::OnBroken(Instant now,
                                     Fingerprint fingerprint,
-                                    const std::string& target,
+                                    const BrokenTarget& target,
                                     Duration quarantine) {
-  survivors_.erase(fingerprint);
-  Suspect& suspect = suspects_[fingerprint];
-  if (now >= suspect.forgotten_at) {
-    suspect = Suspect{};
+  Suspect* suspect = EnsureSuspect(now, fingerprint);
+  if (suspect == nullptr) {
+    return 0;
   }
-  suspect.broken.insert(target);
-  suspect.forgotten_at = now + quarantine;
-  Condemn(now, suspect, quarantine);
-  return suspect.broken.size();
+  AddBroken(fingerprint, *suspect, target);
+  suspect->forgotten_at = now + quarantine;
+  if (suspect->broken.size() >= kTargetsToCondemn &&
+      now >= suspect->quarantined_until) {
+    suspect->quarantined_until = now + quarantine;
+  }
+  return suspect->broken.size();
 }
 
 bool PoisonTracker::Merge(Instant now,
@@ -99,27 +137,31 @@
                           Duration quarantine) {
   if (evidence.targets.empty()) {
     auto cleared = suspects_.find(evidence.fingerprint);
-    if (cleared != suspects_.end() &&
-        now >= cleared->second.quarantined_until) {
-      suspects_.erase(cleared);
+    if (cleared != suspects_.end() && !IsQuarantined(now, cleared->second)) {
+      Forget(cleared);
     }
     return false;
   }
-  survivors_.erase(evidence.fingerprint);
-  Suspect& suspect = suspects_[evidence.fingerprint];
-  if (now >= suspect.forgotten_at) {
-    suspect = Suspect{};
-  }
-  suspect.broken.insert(evidence.targets.begin(), evidence.targets.end());
-  suspect.forgotten_at = now + quarantine;
-  suspect.tested_elsewhere_until =
-      std::max(suspect.tested_elsewhere_until, now + evidence.testing);
-  if (evidence.quarantine > Duration{} && now >= suspect.quarantined_until) {
-    suspect.quarantined_until = now + evidence.quarantine;
-    suspect.forgotten_at = suspect.quarantined_until;
-    return true;
-  }
-  return Condemn(now, suspect, quarantine);
+  Suspect* suspect = EnsureSuspect(now, evidence.fingerprint);
+  if (suspect == nullptr) {
+    return false;
+  }
+  const bool was_held = IsQuarantined(now, *suspect);
+  for (const BrokenTarget& target : evidence.targets) {
+    AddBroken(evidence.fingerprint, *suspect, target);
+  }
+  suspect->tested_elsewhere_until =
+      std::max(suspect->tested_elsewhere_until, now + evidence.testing);
+  if (now >= suspect->quarantined_until) {
+    suspect->forgotten_at = now + quarantine;
+    if (evidence.quarantine > Duration{}) {
+      suspect->quarantined_until = now + evidence.quarantine;
+      suspect->forgotten_at = suspect->quarantined_until;
+    } else if (suspect->broken.size() >= kTargetsToCondemn) {
+      suspect->quarantined_until = now + quarantine;
+    }
+  }
+  return !was_held && IsQuarantined(now, *suspect);
 }
 
 PoisonEvidence PoisonTracker::EvidenceOf(Instant now,
@@ -134,14 +176,27 @@
   }
   const Suspect& suspect = found->second;
   evidence.targets.assign(suspect.broken.begin(), suspect.broken.end());
-  evidence.quarantine = std::max(Duration{}, suspect.quarantined_until - now);
+  if (IsQuarantined(now, suspect)) {
+    evidence.quarantine = suspect.quarantined_until - now;
+  }
   return evidence;
 }
 
+std::vector<PoisonEvidence> PoisonTracker::All(Instant now,
+                                               const std::string& host) const {
+  std::vector<PoisonEvidence> result;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (now < suspect.forgotten_at) {
+      result.push_back(EvidenceOf(now, fingerprint, host));
+    }
+  }
+  return result;
+}
+
 std::vector<Fingerprint> PoisonTracker::Quarantined(Instant now) const {
   std::vector<Fingerprint> result;
   for (const auto& [fingerprint, suspect] : suspects_) {
-    if (now < suspect.quarantined_until) {
+    if (IsQuarantined(now, suspect)) {
       result.push_back(fingerprint);
     }
   }
@@ -149,13 +204,18 @@
 }
 
 bool PoisonTracker::Release(Fingerprint fingerprint) {
-  return suspects_.erase(fingerprint) > 0;
+  auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) {
+    return false;
+  }
+  Forget(found);
+  return true;
 }
 
 void PoisonTracker::Prune(Instant now) {
-  std::erase_if(suspects_, [&](const auto& entry) {
-    return now >= entry.second.forgotten_at;
-  });
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    it = now >= it->second.forgotten_at ? Forget(it) : std::next(it);
+  }
   std::erase_if(survivors_, [&](const auto& entry) {
     return now >= entry.second.forgotten_at;
   });
--- a/src/libsnipeworks/policy.cpp
+++ b/src/libsnipeworks/policy.cpp
@@ -52,7 +52,9 @@
                 "when an answer is wanted; a hedge goes out while it can still "
                 "answer by then; 0 for no such time"},
     PolicyField{"canary", &GroupPolicy::canary, 0, 2, kCanaries,
-                "which requests run on one part before they fan out"},
+                "which requests run on one part before they fan out: all that "
+                "are not known, or only those under which a target has ended "
+                "(off is the same)"},
     PolicyField{"quarantine_s", &GroupPolicy::quarantine_s, 1, 86400, Names(),
                 "how long a request that broke two targets is refused"},
     PolicyField{"admission", &GroupPolicy::admission, 0, 1, kSwitch,
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -141,11 +141,21 @@
   void GiveUp(Instant now, RequestId id);
   void Begin(Instant now, SearchRun& search, PoisonTracker::Standing standing);
   void StartCanary(Instant now, SearchRun& search);
+  std::optional<std::size_t> ChooseCanary(Instant now,
+                                          const SearchRun& search,
+                                          bool again);
+  void GiveUpCanary(Instant now, SearchRun& search);
   void StartFanOut(Instant now, SearchRun& search);
   void Enqueue(SearchRun& search, std::size_t part_index, AttemptKind kind);
+  /// What the next attempt of a held part counts as; pays for a retry. Nothing
+  /// if the part may not be tried again.
+  std::optional<AttemptKind> KindOfNext(Instant now,
+                                        const SearchRun& search,
+                                        std::size_t part_index);
   void DispatchOrEnqueue(Instant now,
                          SearchRun& search,
-                         std::size_t part_index);
+                         std::size_t part_index,
+                         AttemptKind kind);
   void Pump(Instant now);
   PartQueue::Offer Dispatch(Instant now, const WaitingPart& waiting);
   bool CannotFinish(Instant now,
@@ -190,6 +200,7 @@
   // Requests that break targets.
   void TakeLoss(Instant now, SearchRun& search, const AttemptRun& run);
   void TakeSurvival(Instant now, SearchRun& search);
+  void NoteUnproved(Instant now, const SearchRun& search);
   void CountBroken(Instant now, SearchRun* search, const AttemptRun& run);
   void Condemn(Instant now, Fingerprint fingerprint);
   void ReleaseCanaryLine(Instant now, Fingerprint fingerprint, bool survived);
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -47,13 +47,10 @@
 }
 
 void SearchEngine::Begin(Instant now, SearchRun& search, Standing standing) {
-  const Canary rule = search.policy().canary_rule();
-  const bool suspected = standing == Standing::kSuspected;
-  const bool unknown = standing == Standing::kUnknown;
-  const bool needs_canary =
-      rule != Canary::kOff &&
-      (suspected || (unknown && rule == Canary::kUnknown));
-  if (!needs_canary) {
+  const bool trusted = standing == Standing::kGood ||
+                       (standing == Standing::kUnknown &&
+                        search.policy().canary_rule() == Canary::kSuspected);
+  if (trusted) {
     StartFanOut(now, search);
     return;
   }
@@ -67,10 +64,12 @@
   StartCanary(now, search);
 }
 
-// Runs one held part alone: of a few parts from a random one on, the one whose
-// replicas answer fastest, since the whole search waits for it.
-void SearchEngine::StartCanary(Instant now, SearchRun& search) {
-  search.phase = SearchPhase::kCanary;
+// Of a few held parts from a random one on, the one whose replicas answer
+// fastest, since the whole search waits for it. `again` says whether parts that
+// were tried before are looked at, or the others.
+std::optional<std::size_t> SearchEngine::ChooseCanary(Instant now,
+                                                      const SearchRun& search,
+                                                      bool again) {
   const Duration reference = EnsureGroup(search.request().group).Reference();
   const std::size_t count = search.parts().size();
   const std::size_t offset = random_.Below(count);
@@ -83,7 +82,8 @@
     const PartRun& part = search.parts()[index];
     const ReplicaQuery query{now, search.ReplicasOf(index), part.tried,
                              reference, search.policy()};
-    if (part.status != PartStatus::kHeld || selector_.CountUsable(query) == 0) {
+    if (part.status != PartStatus::kHeld || part.started != again ||
+        !MayTryAgain(search, part) || selector_.CountUsable(query) == 0) {
       continue;
     }
     any = any.value_or(index);
@@ -97,13 +97,60 @@
       best_score = score;
     }
   }
-  if (!any) {
-    ReleaseCanaryLine(now, search.fingerprint(), false);
-    StartFanOut(now, search);
+  return best ? best : any;
+}
+
+// Runs one held part alone: one that was not tried yet if there is any, as the
+// others cost a retry.
+void SearchEngine::StartCanary(Instant now, SearchRun& search) {
+  search.phase = SearchPhase::kCanary;
+  auto chosen = ChooseCanary(now, search, false);
+  if (!chosen) {
+    chosen = ChooseCanary(now, search, true);
+  }
+  const auto kind = chosen ? KindOfNext(now, search, *chosen) : std::nullopt;
+  if (!kind) {
+    GiveUpCanary(now, search);
     return;
   }
-  search.canary_part = best.value_or(*any);
-  Enqueue(search, search.canary_part, AttemptKind::kPrimary);
+  search.canary_part = *chosen;
+  Enqueue(search, search.canary_part, *kind);
+}
+
+// No held part can run: they are missing from what the others answer.
+void SearchEngine::GiveUpCanary(Instant now, SearchRun& search) {
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    const PartRun& part = search.parts()[i];
+    if (part.status == PartStatus::kHeld) {
+      MissPart(search, i,
+               part.started ? part.reason : MissingReason::kNoTarget);
+    }
+  }
+  search.phase = SearchPhase::kFanOut;
+  AfterChange(now, search);
+}
+
+// A part whose attempts are all proved not to have run is tried again at no
+// cost; any other draws on the budget of extra attempts.
+std::optional<AttemptKind> SearchEngine::KindOfNext(Instant now,
+                                                    const SearchRun& search,
+                                                    std::size_t part_index) {
+  const PartRun& part = search.parts()[part_index];
+  if (!part.started) {
+    return AttemptKind::kPrimary;
+  }
+  if (!MayTryAgain(search, part)) {
+    return std::nullopt;
+  }
+  if (part.unproved == 0) {
+    return AttemptKind::kReplacement;
+  }
+  const GroupState& group = EnsureGroup(search.request().group);
+  const std::string& target_group = search.KeyOf(part_index).group;
+  if (!TakeExtra(now, group.policy, target_group, 0.0)) {
+    return std::nullopt;
+  }
+  return AttemptKind::kRetry;
 }
 
 void SearchEngine::StartFanOut(Instant now, SearchRun& search) {
@@ -115,9 +162,14 @@
   // A part can end its search, or start it over on another snapshot.
   SearchRun* left = &search;
   for (std::size_t i = 0; left != nullptr && i < left->parts().size(); ++i) {
-    if (left->parts()[i].status == PartStatus::kHeld) {
-      DispatchOrEnqueue(now, *left, i);
+    if (left->parts()[i].status != PartStatus::kHeld) {
+      continue;
+    }
+    if (const auto kind = KindOfNext(now, *left, i)) {
+      DispatchOrEnqueue(now, *left, i, *kind);
       left = FindSearch(id);
+    } else {
+      MissPart(*left, i, MissingReason::kFailed);
     }
   }
   if (left != nullptr) {
@@ -128,18 +180,18 @@
 // Parts that find room, which is most of them, do not pass through the queue.
 void SearchEngine::DispatchOrEnqueue(Instant now,
                                      SearchRun& search,
-                                     std::size_t part_index) {
+                                     std::size_t part_index,
+                                     AttemptKind kind) {
   const bool first =
       queue_.size() == 0 || queue_.IsEmpty(search.KeyOf(part_index));
   if (first) {
     search.parts()[part_index].status = PartStatus::kWaiting;
-    const WaitingPart waiting{search.request().id, part_index,
-                              AttemptKind::kPrimary};
+    const WaitingPart waiting{search.request().id, part_index, kind};
     if (Dispatch(now, waiting) == PartQueue::Offer::kTaken) {
       return;
     }
   }
-  Enqueue(search, part_index, AttemptKind::kPrimary);
+  Enqueue(search, part_index, kind);
 }
 
 void SearchEngine::Enqueue(SearchRun& search,
@@ -428,6 +480,7 @@
   }
   const RequestId id = search.request().id;
   const Fingerprint fingerprint = search.fingerprint();
+  NoteUnproved(now, search);
   searches_.erase(id);
   auto line = canaries_.find(fingerprint);
   if (line != canaries_.end() && line->second.leader == id) {
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -99,8 +99,7 @@
   part.hits = outcome.hits;
   part.answer = outcome.answer;
   CancelPart(part);
-  if (search.phase == SearchPhase::kCanary ||
-      search.phase == SearchPhase::kAskingPeers) {
+  if (search.phase != SearchPhase::kFanOut || !search.lost_targets.empty()) {
     TakeSurvival(now, search);
     StartFanOut(now, search);
   }
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -35,11 +35,16 @@
                             SearchRun& search,
                             const AttemptRun& run) {
   search.parts()[run.part_index].reason = MissingReason::kFailed;
-  if (search.policy().canary_rule() == Canary::kOff) {
+  // Other targets have answered it: this one ended by itself, and the part is
+  // not held up. Where unknown requests run alone first, so does this part, as
+  // the request may break the targets of one part alone.
+  const bool trusted = search.policy().canary_rule() == Canary::kSuspected &&
+                       search.AnsweredParts() > 0;
+  if (trusted) {
     TakeFailure(now, search, run, AttemptStatus::kLost);
     return;
   }
-  search.lost_targets.push_back(run.target);
+  search.lost_targets.push_back({run.target, run.incarnation});
   if (run.sole) {
     CountBroken(now, &search, run);
     return;
@@ -71,10 +76,10 @@
                                const AttemptRun& run) {
   GroupState& group = EnsureGroup(run.group);
   const Duration quarantine = std::chrono::seconds(group.policy.quarantine_s);
-  std::size_t broken =
-      poison_.OnBroken(now, run.fingerprint, run.target, quarantine);
+  std::size_t broken = poison_.OnBroken(
+      now, run.fingerprint, {run.target, run.incarnation}, quarantine);
   if (search != nullptr) {
-    for (const std::string& target : search->lost_targets) {
+    for (const BrokenTarget& target : search->lost_targets) {
       broken = poison_.OnBroken(now, run.fingerprint, target, quarantine);
     }
   }
@@ -97,6 +102,24 @@
   actions_.emplace_back(ShareEvidence{std::move(evidence), ask});
 }
 
+// A search that ends with lost targets and no answer leaves open whether it
+// broke them. One of them is remembered, so that the request runs alone when it
+// comes again; more could have died together.
+void SearchEngine::NoteUnproved(Instant now, const SearchRun& search) {
+  const Fingerprint fingerprint = search.fingerprint();
+  const bool settled =
+      search.lost_targets.empty() || search.AnsweredParts() > 0 ||
+      poison_.EvidenceOf(now, fingerprint, config_.host).quarantine >
+          Duration{};
+  if (settled) {
+    return;
+  }
+  poison_.OnBroken(now, fingerprint, search.lost_targets.front(),
+                   std::chrono::seconds(search.policy().quarantine_s));
+  actions_.emplace_back(
+      ShareEvidence{poison_.EvidenceOf(now, fingerprint, config_.host), false});
+}
+
 bool SearchEngine::OnEvidence(Instant now, const PoisonEvidence& evidence) {
   const Duration quarantine =
       std::chrono::seconds(settings_.defaults().quarantine_s);
@@ -177,7 +200,10 @@
       StartFanOut(now, *search);
     } else {
       search->phase = SearchPhase::kFanOut;
-      Begin(now, *search, Standing::kUnknown);
+      const Standing standing =
+          poison_.StandingOf(now, fingerprint, search->snapshot().id());
+      Begin(now, *search,
+            standing == Standing::kGood ? Standing::kUnknown : standing);
     }
   }
 }
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -67,6 +67,7 @@
             path = self.settings(
                 name, address, self.zones[i % len(self.zones)], ready=f"{address}:8001",
                 shutdown_hold_ms=300, shutdown_limit_ms=6000, answer_margin_ms=10,
+                # "off", as earlier versions had it: what ends targets is stopped all the same.
                 policy={"canary": 2, "probe_silent": 0, "slow_start_ms": 0,
                         "hedge_percentile": 95, "extra_attempts_percent": 20,
                         "extra_attempts_slack": 60, "other_zone_percent": 200, "eject_ms": 500})
