Refuse an order under which two targets have ended

The same cause elsewhere: orders of snipe-entry took targets past the check for requests that end targets, and nothing was recorded when one ended under them. Claims stop only a resend under the same key; a caller that makes a new key each time ended one target with each. An order now counts with its group and body, at all hosts, like a search; its lost connections are asked after like those of searches, so that a broken connection alone counts for nothing.

--- a/src/include/snipeworks/action_controller.h
+++ b/src/include/snipeworks/action_controller.h
@@ -70,15 +70,15 @@
 class ActionTargets {
  public:
   virtual ~ActionTargets() = default;
-  /// A target of `group` that is not in `tried`, with its load counted, or why
-  /// there is none.
+  /// A target that is not in `tried`, with its load counted, or why there is
+  /// none.
   virtual Result<ActionTarget> Take(Instant now,
-                                    const std::string& group,
+                                    const ActionNeed& need,
                                     const std::vector<std::string>& tried) = 0;
   /// The attempt at `target` has ended.
   virtual void Release(Instant now,
-                       const std::string& group,
-                       const std::string& target,
+                       const ActionNeed& need,
+                       const ActionTarget& target,
                        const AttemptOutcome& outcome,
                        Duration latency) = 0;
 };
@@ -114,7 +114,9 @@
     Phase phase = Phase::kClaiming;
     Instant deadline{};
     std::string owner;
+    ActionNeed need;
     std::vector<std::string> tried;
+    ActionTarget target;  ///< Of the latest attempt.
     AttemptId attempt = 0;
     Instant sent{};
     bool answered = false;
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -96,6 +96,13 @@
   std::string address;
   SnapshotId snapshot;
   PartNumber part = 0;
+  std::uint64_t incarnation = 0;
+};
+
+/// What a request that is not repeatable needs a target for.
+struct ActionNeed {
+  std::string group;
+  Fingerprint fingerprint = 0;
 };
 
 /// What a SearchController is made with.
@@ -176,15 +183,16 @@
   /// The actions since the last call, in order.
   std::vector<SearchAction> TakeActions();
 
-  /// A target of `group` with room that is not in `tried`, for a request that
-  /// is not repeatable; its load is counted until ReleaseTarget. Fails with
-  /// kUnknownGroup, kNoTarget or kOverloaded.
+  /// A target with room that is not in `tried`, for a request that is not
+  /// repeatable; its load is counted until ReleaseTarget. Fails with
+  /// kUnknownGroup, kNoTarget, kOverloaded or kQuarantined.
   Result<ActionTarget> TakeTarget(Instant now,
-                                  const std::string& group,
+                                  const ActionNeed& need,
                                   const std::vector<std::string>& tried);
+  /// How the attempt at a target that was taken for `need` has ended.
   void ReleaseTarget(Instant now,
-                     const std::string& group,
-                     const std::string& target,
+                     const ActionNeed& need,
+                     const ActionTarget& target,
                      const AttemptOutcome& outcome,
                      Duration latency);
 
--- a/src/libsnipeworks/action_controller.cpp
+++ b/src/libsnipeworks/action_controller.cpp
@@ -6,6 +6,8 @@
 #include <xxhash.h>
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/poison_tracker.h"
+
 namespace snipeworks {
 
 namespace {
@@ -49,6 +51,10 @@
   const RequestId id = request.id;
   Running& action = running_[id];
   action.request = std::move(request);
+  // A search that asks for the same text is another request.
+  action.need = {
+      action.request.group,
+      FingerprintOf("action " + action.request.group, action.request.body)};
   action.deadline = now + action.request.budget;
   action.owner =
       host_ + "-" + std::to_string(incarnation_) + "-" + std::to_string(id);
@@ -125,13 +131,14 @@
            {ErrorKind::kOverloaded, "the deadline came first", kRetryAfter});
     return;
   }
-  auto target = targets_.Take(now, action.request.group, action.tried);
+  auto target = targets_.Take(now, action.need, action.tried);
   if (!target) {
     Refuse(action, target.error());
     return;
   }
   action.phase = Phase::kSending;
   action.tried.push_back(target->target);
+  action.target = *target;
   action.attempt = kActionBit | next_attempt_++;
   action.sent = now;
   attempts_[action.attempt] = action.request.id;
@@ -141,6 +148,7 @@
   command.kind = action.tried.size() == 1 ? AttemptKind::kPrimary
                                           : AttemptKind::kReplacement;
   command.target = target->target;
+  command.incarnation = target->incarnation;
   command.address = target->address;
   command.group = action.request.group;
   command.snapshot = target->snapshot;
@@ -163,8 +171,7 @@
   const RequestId id = owner->second;
   attempts_.erase(owner);
   Running& action = running_.at(id);
-  targets_.Release(now, action.request.group, action.tried.back(), outcome,
-                   now - action.sent);
+  targets_.Release(now, action.need, action.target, outcome, now - action.sent);
   if (outcome.status == AttemptStatus::kAnswered) {
     const std::string body = BodyOf(outcome);
     Record(action, ClaimState::kDone, body);
--- a/src/libsnipeworks/action_controller_test.cpp
+++ b/src/libsnipeworks/action_controller_test.cpp
@@ -11,7 +11,7 @@
 class FakeActionTargets : public ActionTargets {
  public:
   Result<ActionTarget> Take(Instant,
-                            const std::string&,
+                            const ActionNeed&,
                             const std::vector<std::string>& tried) override {
     if (tried.size() >= targets) {
       return Fail(ErrorKind::kNoTarget, "none left");
@@ -20,8 +20,8 @@
         "t" + std::to_string(tried.size()), "127.0.0.1:1", {1, "d"}, 0};
   }
   void Release(Instant,
-               const std::string&,
-               const std::string&,
+               const ActionNeed&,
+               const ActionTarget&,
                const AttemptOutcome&,
                Duration) override {}
 
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -72,17 +72,17 @@
 
 Result<ActionTarget> SearchController::TakeTarget(
     Instant now,
-    const std::string& group,
+    const ActionNeed& need,
     const std::vector<std::string>& tried) {
-  return impl_->TakeTarget(now, group, tried);
+  return impl_->TakeTarget(now, need, tried);
 }
 
 void SearchController::ReleaseTarget(Instant now,
-                                     const std::string& group,
-                                     const std::string& target,
+                                     const ActionNeed& need,
+                                     const ActionTarget& target,
                                      const AttemptOutcome& outcome,
                                      Duration latency) {
-  impl_->ReleaseTarget(now, group, target, outcome, latency);
+  impl_->ReleaseTarget(now, need, target, outcome, latency);
 }
 
 void SearchController::Tick(Instant now) {
--- a/src/libsnipeworks/search_controller_test.cpp
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -528,6 +528,32 @@
   EXPECT_LE(fleet.broken.size(), 2U);
 }
 
+// Each time with another key, so that claims do not stop it.
+TEST(Poison, AnActionIsRefusedOnAllHostsOnceTwoTargetsEnded) {
+  PoisonFleet fleet(2);
+  const ActionNeed need{"g", 77};
+  AttemptOutcome lost;
+  lost.status = AttemptStatus::kLost;
+  std::size_t ended = 0;
+  for (int i = 0; i < 10; ++i) {
+    FakeTargets& fake = *fleet.fakes[static_cast<std::size_t>(i) % 2];
+    const auto target = fake.controller.TakeTarget(fake.now, need, {});
+    if (target) {
+      ++ended;
+      fake.controller.ReleaseTarget(fake.now, need, *target, lost,
+                                    milliseconds(3));
+    } else {
+      EXPECT_EQ(target.error().kind, ErrorKind::kQuarantined);
+      EXPECT_GT(target.error().retry_after.value_or(Duration{}), Duration{});
+    }
+    fleet.Run(milliseconds(20));
+  }
+  EXPECT_EQ(ended, 2U);
+  FakeTargets& fake = *fleet.fakes[0];
+  EXPECT_TRUE(fake.controller.TakeTarget(fake.now, {"g", 78}, {}))
+      << "others go on";
+}
+
 TEST(Poison, ATargetThatDiesCondemnsNoInnocentRequest) {
   FakeTargets fake;
   fake.slots = 50;
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -232,13 +232,19 @@
 // room.
 Result<ActionTarget> SearchEngine::TakeTarget(
     Instant now,
-    const std::string& name,
+    const ActionNeed& need,
     const std::vector<std::string>& tried) {
+  const std::string& name = need.group;
   GroupState* group = FindGroup(name);
   if (group == nullptr) {
     return Fail(ErrorKind::kUnknownGroup,
                 "no target has announced the group " + name, kFailedRetryAfter);
   }
+  const Duration refused = poison_.RefusedFor(now, need.fingerprint);
+  if (refused > Duration{}) {
+    return Fail(ErrorKind::kQuarantined, "targets broke while running it",
+                refused);
+  }
   const auto snapshot = group->Snapshot(now, view_);
   bool busy = false;
   const std::size_t count = snapshot ? snapshot->replicas.size() : 0;
@@ -251,7 +257,8 @@
     if (choice.state == ReplicaChoice::State::kChosen) {
       selector_.Stats(choice.target->target)->OnStart();
       return ActionTarget{choice.target->target, choice.target->address,
-                          snapshot->id(), snapshot->manifest.parts[index].part};
+                          snapshot->id(), snapshot->manifest.parts[index].part,
+                          choice.target->incarnation};
     }
     busy |= choice.state == ReplicaChoice::State::kBusy;
   }
@@ -264,15 +271,16 @@
 }
 
 void SearchEngine::ReleaseTarget(Instant now,
-                                 const std::string& name,
-                                 const std::string& target,
+                                 const ActionNeed& need,
+                                 const ActionTarget& target,
                                  const AttemptOutcome& outcome,
                                  Duration latency) {
-  if (TargetStats* stats = selector_.Stats(target)) {
-    const GroupState& group = EnsureGroup(name);
+  if (TargetStats* stats = selector_.Stats(target.target)) {
+    const GroupState& group = EnsureGroup(need.group);
     stats->OnFinish(now, outcome, latency, group.Reference(), group.policy);
   }
-  if (const Announcement* known = view_.Usable(now, target)) {
+  NoteAction(now, need, target, outcome.status);
+  if (const Announcement* known = view_.Usable(now, target.target)) {
     MarkReady(*known);
   }
   Pump(now);
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -102,11 +102,11 @@
   void Tick(Instant now);
 
   Result<ActionTarget> TakeTarget(Instant now,
-                                  const std::string& name,
+                                  const ActionNeed& need,
                                   const std::vector<std::string>& tried);
   void ReleaseTarget(Instant now,
-                     const std::string& name,
-                     const std::string& target,
+                     const ActionNeed& need,
+                     const ActionTarget& target,
                      const AttemptOutcome& outcome,
                      Duration latency);
 
@@ -204,6 +204,10 @@
   void TakeLoss(Instant now, SearchRun& search, const AttemptRun& run);
   void TakeSurvival(Instant now, SearchRun& search);
   void NoteUnproved(Instant now, const SearchRun& search);
+  void NoteAction(Instant now,
+                  const ActionNeed& need,
+                  const ActionTarget& target,
+                  AttemptStatus status);
   void CountBroken(Instant now, SearchRun* search, const AttemptRun& run);
   void Condemn(Instant now, Fingerprint fingerprint);
   void ReleaseCanaryLine(Instant now, Fingerprint fingerprint, bool survived);
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -120,6 +120,26 @@
       ShareEvidence{poison_.EvidenceOf(now, fingerprint, config_.host), false});
 }
 
+// A request that may run once has one target at a time: each that ends counts.
+void SearchEngine::NoteAction(Instant now,
+                              const ActionNeed& need,
+                              const ActionTarget& target,
+                              AttemptStatus status) {
+  const bool suspected =
+      !poison_.EvidenceOf(now, need.fingerprint, config_.host).targets.empty();
+  if (status == AttemptStatus::kLost) {
+    const GroupPolicy& policy = EnsureGroup(need.group).policy;
+    poison_.OnBroken(now, need.fingerprint, {target.target, target.incarnation},
+                     std::chrono::seconds(policy.quarantine_s));
+  } else if (status == AttemptStatus::kAnswered && suspected) {
+    poison_.OnSurvived(now, need.fingerprint, {});
+  } else {
+    return;
+  }
+  actions_.emplace_back(ShareEvidence{
+      poison_.EvidenceOf(now, need.fingerprint, config_.host), false});
+}
+
 bool SearchEngine::OnEvidence(Instant now, const PoisonEvidence& evidence) {
   const Duration quarantine =
       std::chrono::seconds(settings_.defaults().quarantine_s);
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -92,9 +92,7 @@
   }
   const Running& running = node.mapped();
   const AttemptOutcome outcome = OutcomeOf(result, running.name);
-  const bool verify = outcome.status == AttemptStatus::kLost &&
-                      running.command.idempotency_key.empty();
-  if (verify) {
+  if (outcome.status == AttemptStatus::kLost) {
     VerifyLoss(running, kVerifyTries);
   } else {
     Report(running, outcome);
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -269,17 +269,17 @@
 
 Result<ActionTarget> EntryHost::Targets::Take(
     Instant now,
-    const std::string& group,
+    const ActionNeed& need,
     const std::vector<std::string>& tried) {
-  return searches_.TakeTarget(now, group, tried);
+  return searches_.TakeTarget(now, need, tried);
 }
 
 void EntryHost::Targets::Release(Instant now,
-                                 const std::string& group,
-                                 const std::string& target,
+                                 const ActionNeed& need,
+                                 const ActionTarget& target,
                                  const AttemptOutcome& outcome,
                                  Duration latency) {
-  searches_.ReleaseTarget(now, group, target, outcome, latency);
+  searches_.ReleaseTarget(now, need, target, outcome, latency);
 }
 
 }  // namespace snipeworks
--- a/src/snipe-entry/entry_host.h
+++ b/src/snipe-entry/entry_host.h
@@ -57,11 +57,11 @@
    public:
     explicit Targets(SearchController& searches) : searches_(searches) {}
     Result<ActionTarget> Take(Instant now,
-                              const std::string& group,
+                              const ActionNeed& need,
                               const std::vector<std::string>& tried) override;
     void Release(Instant now,
-                 const std::string& group,
-                 const std::string& target,
+                 const ActionNeed& need,
+                 const ActionTarget& target,
                  const AttemptOutcome& outcome,
                  Duration latency) override;
 
