Pay for a retry until it reaches a target

What targets saw: more arrivals beyond the first of a request than the retry budget allows, while targets end one after the other.

A retry that reached nobody was paid back, and the attempt that took its place counted as free, though it was the first to arrive; a free one that reached nobody was paid back as well, so each such chain let another retry through.

Change: what was paid goes on to the attempt that takes the place, and back only when the part ends without one.

--- a/src/include/snipeworks/search_run.h
+++ b/src/include/snipeworks/search_run.h
@@ -29,6 +29,9 @@
   std::shared_ptr<const TargetAnswer> answer;
   /// Attempts that may have run or may still run.
   std::int64_t unproved = 0;
+  /// An extra attempt was paid for and reached no target: the next one, which
+  /// takes its place, is not paid for again.
+  bool paid_ahead = false;
 };
 
 /// What a running search is doing.
--- a/src/libsnipeworks/search_controller_test.cpp
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -528,6 +528,48 @@
   EXPECT_LE(fleet.broken.size(), 2U);
 }
 
+// Load pattern: targets end one after the other, so that retries meet others
+// that are down and go on to a third.
+TEST(RetryBudget, CountsARetryThatArrivesOnlyAtItsNextTarget) {
+  FakeTargets fake;
+  fake.AddTargets(1, 6);
+  WarmUp(fake, 100);
+  fake.behaviour = [](const AttemptCommand& command) {
+    switch (command.kind) {
+      case AttemptKind::kPrimary:
+        return FakeReply{milliseconds(10), AttemptStatus::kFailed};
+      case AttemptKind::kRetry:
+        return FakeReply{milliseconds(1), AttemptStatus::kNotSent};
+      default:
+        return FakeReply{milliseconds(10)};
+    }
+  };
+  for (int i = 0; i < 100; ++i) {
+    fake.Search("q");
+    fake.Run(milliseconds(25));
+  }
+  const int arrived_again = fake.sent[AttemptKind::kReplacement];
+  EXPECT_GT(arrived_again, 0);
+  EXPECT_LE(arrived_again, 10) << "5% of 200";
+}
+
+// Nothing has reached a second target, so nothing is spent.
+TEST(RetryBudget, IsNotSpentByRetriesThatReachNobody) {
+  FakeTargets fake;
+  fake.AddTargets(1, 3);
+  WarmUp(fake, 100);
+  fake.behaviour = [](const AttemptCommand& command) {
+    const bool first = command.kind == AttemptKind::kPrimary;
+    return first ? FakeReply{milliseconds(10), AttemptStatus::kFailed}
+                 : FakeReply{milliseconds(1), AttemptStatus::kNotSent};
+  };
+  for (int i = 0; i < 50; ++i) {
+    fake.Search("q");
+    fake.Run(milliseconds(25));
+  }
+  EXPECT_GT(fake.sent[AttemptKind::kRetry], 20);
+}
+
 // Each time with another key, so that claims do not stop it.
 TEST(Poison, AnActionIsRefusedOnAllHostsOnceTwoTargetsEnded) {
   PoisonFleet fleet(2);
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -66,6 +66,7 @@
   SnapshotId snapshot;
   Fingerprint fingerprint = 0;
   bool sole = false;  ///< The only part of its request that was running.
+  bool paid = false;  ///< Draws on the budget of extra attempts.
   bool probed = false;
   Instant started{};
 };
@@ -181,7 +182,10 @@
   void Finish(Instant now, SearchRun& search);
   void FinishWith(Instant now, SearchRun& search, Error error);
   void Remove(Instant now, SearchRun& search);
-  void CancelPart(PartRun& part);
+  void CancelPart(Instant now, SearchRun& search, std::size_t part_index);
+  /// What was paid for an attempt that reached nobody goes on to the next one
+  /// of its part, or back if there is none.
+  void KeepPaid(Instant now, const AttemptRun& run, PartRun& part);
 
   // Outcomes.
   void TakeAnswer(Instant now,
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -142,7 +142,7 @@
   if (!MayTryAgain(search, part)) {
     return std::nullopt;
   }
-  if (part.unproved == 0) {
+  if (part.unproved == 0 || part.paid_ahead) {
     return AttemptKind::kReplacement;
   }
   const GroupState& group = EnsureGroup(search.request().group);
@@ -284,6 +284,8 @@
   PartRun& part = search.parts()[part_index];
   const AttemptId id = next_attempt_++;
   const bool sole = search.phase == SearchPhase::kCanary;
+  const bool paid = std::exchange(part.paid_ahead, false) ||
+                    kind == AttemptKind::kHedge || kind == AttemptKind::kRetry;
   attempts_[id] = {search.request().id,
                    part_index,
                    kind,
@@ -294,6 +296,7 @@
                    search.snapshot().id(),
                    search.fingerprint(),
                    sole,
+                   paid,
                    false,
                    now};
   part.status = PartStatus::kRunning;
@@ -395,8 +398,8 @@
   if (!possible) {
     return false;
   }
-  for (PartRun& part : search.parts()) {
-    CancelPart(part);
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    CancelPart(now, search, i);
   }
   search.replanned = true;
   search.Pin(std::move(snapshot));
@@ -475,8 +478,8 @@
 // Attempts stay in attempts_ until their outcome arrives: they still hold a
 // slot at their target.
 void SearchEngine::Remove(Instant now, SearchRun& search) {
-  for (PartRun& part : search.parts()) {
-    CancelPart(part);
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    CancelPart(now, search, i);
   }
   const RequestId id = search.request().id;
   const Fingerprint fingerprint = search.fingerprint();
@@ -488,7 +491,13 @@
   }
 }
 
-void SearchEngine::CancelPart(PartRun& part) {
+void SearchEngine::CancelPart(Instant now,
+                              SearchRun& search,
+                              std::size_t part_index) {
+  PartRun& part = search.parts()[part_index];
+  if (std::exchange(part.paid_ahead, false)) {
+    extra_budgets_[search.KeyOf(part_index).group].GiveBack(now);
+  }
   for (AttemptId id : std::exchange(part.running, {})) {
     actions_.emplace_back(CancelAttempt{id, attempts_.at(id).target});
   }
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -39,10 +39,6 @@
   } else if (outcome.retry_after > Duration{}) {
     actions_.emplace_back(WithdrawUnsent{run.target});
   }
-  if (outcome.status == AttemptStatus::kNotSent &&
-      run.kind != AttemptKind::kPrimary) {
-    extra_budgets_[run.target_group].GiveBack(now);
-  }
   if (const Announcement* target = view_.Usable(now, run.target)) {
     MarkReady(*target);
   }
@@ -51,8 +47,13 @@
   if (search != nullptr && run.part_index < search->parts().size()) {
     part = &search->parts()[run.part_index];
   }
+  const bool unsent_paid =
+      run.paid && outcome.status == AttemptStatus::kNotSent;
   // An attempt that its part no longer lists was cancelled.
   if (part == nullptr || std::erase(part->running, id) == 0) {
+    if (unsent_paid) {
+      extra_budgets_[run.target_group].GiveBack(now);
+    }
     if (outcome.status == AttemptStatus::kLost && run.sole) {
       CountBroken(now, nullptr, run);
     }
@@ -62,6 +63,9 @@
   if (ProvesNotRun(outcome.status)) {
     --part->unproved;
   }
+  if (unsent_paid) {
+    KeepPaid(now, run, *part);
+  }
   if (outcome.answer && outcome.status != AttemptStatus::kAnswered) {
     search->failure = outcome.answer;
   }
@@ -98,13 +102,21 @@
   part.documents = std::min(outcome.documents, in_manifest);
   part.hits = outcome.hits;
   part.answer = outcome.answer;
-  CancelPart(part);
+  CancelPart(now, search, run.part_index);
   if (search.phase != SearchPhase::kFanOut || !search.lost_targets.empty()) {
     TakeSurvival(now, search);
     StartFanOut(now, search);
   }
 }
 
+void SearchEngine::KeepPaid(Instant now, const AttemptRun& run, PartRun& part) {
+  if (part.running.empty() && part.status == PartStatus::kRunning) {
+    part.paid_ahead = true;
+  } else {
+    extra_budgets_[run.target_group].GiveBack(now);
+  }
+}
+
 // Whoever has the address now, the target is not there any more.
 void SearchEngine::TakeWrongTarget(Instant now, const AttemptRun& run) {
   if (const Announcement* known = view_.Find(run.target)) {
