Keep who has heard which evidence apart from the calls that tell it

EvidenceOutbox decides what a control host is told and until when, with tests of its own; the runs of one part alone move to the source of the requests that break targets.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -4,13 +4,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "snipeworks/clock.h"
 #include "snipeworks/event_log.h"
 #include "snipeworks/event_loop.h"
+#include "snipeworks/evidence_outbox.h"
 #include "snipeworks/membership_messages.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/poison_tracker.h"
@@ -93,9 +93,6 @@
   void Watch(const std::string& address, Source& source, bool best);
   void ReportConditions(Instant now, const std::string& address);
   void SendEvidence(Instant now, const std::string& address, Source& source);
-  void OnEvidenceHeard(const std::string& address,
-                       const std::vector<PoisonEvidence>& told,
-                       bool heard);
   void OnReply(const std::string& address, const PeerResult& result);
   void TakeRouting(const WatchReply& reply);
   void Compare(Instant now, Source& source, const WatchReply& reply);
@@ -114,12 +111,7 @@
   Instant started_{};
   Instant report_due_{};
   std::map<std::string, Announcement> leaving_;  ///< Not heard by anyone yet.
-  struct Untold {
-    PoisonEvidence evidence;
-    Instant since{};
-    std::set<std::string> heard_by;
-  };
-  std::map<Fingerprint, Untold> untold_;
+  EvidenceOutbox evidence_;
   std::uint32_t fleet_size_ = 0;
   bool informed_ = false;
 };
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -21,8 +21,6 @@
 // How often the nearest control host is told what was seen of targets.
 constexpr Duration kReportInterval = milliseconds(400);
 constexpr Duration kReportTimeout = milliseconds(1000);
-// Evidence that nobody has heard until then is of little use.
-constexpr Duration kEvidenceTold = std::chrono::seconds(30);
 // Control hosts beyond those watched are looked at this often.
 constexpr Duration kSparePause = std::chrono::seconds(5);
 // Watched at once: the nearest, and one more that tells if that one is behind.
@@ -112,7 +110,7 @@
     if (!source.calling && now >= source.next_call + pause) {
       Watch(ranked[i].second, source, i == 0);
     }
-    if (!spare && !untold_.empty()) {
+    if (!spare && !evidence_.empty()) {
       SendEvidence(now, ranked[i].second, source);
     }
   }
@@ -152,7 +150,7 @@
 }
 
 void ControlFeed::TellEvidence(const PoisonEvidence& evidence) {
-  untold_[evidence.fingerprint] = {evidence, MonotonicNow(), {}};
+  evidence_.Add(MonotonicNow(), evidence);
   loop_.Post([this] { Tick(); });
 }
 
@@ -162,15 +160,7 @@
   if (source.telling || now < source.next_telling) {
     return;
   }
-  std::vector<PoisonEvidence> told;
-  std::erase_if(untold_, [&](const auto& entry) {
-    return now - entry.second.since > kEvidenceTold;
-  });
-  for (const auto& [fingerprint, untold] : untold_) {
-    if (!untold.heard_by.contains(address)) {
-      told.push_back(untold.evidence);
-    }
-  }
+  const std::vector<PoisonEvidence> told = evidence_.For(now, address);
   if (told.empty()) {
     return;
   }
@@ -179,31 +169,17 @@
   report.evidence = ToMessages(told);
   peers_.Call(address, kControlConditionsPath, Encode(report), kReportTimeout,
               [this, address, told](const PeerResult& result) {
-                OnEvidenceHeard(address, told, result.has_value());
+                Source& heard = sources_[address];
+                heard.telling = false;
+                if (result) {
+                  evidence_.OnHeard(address, told,
+                                    std::min(kWatched, sources_.size()));
+                } else {
+                  heard.next_telling = MonotonicNow() + kRetryPause;
+                }
               });
 }
 
-void ControlFeed::OnEvidenceHeard(const std::string& address,
-                                  const std::vector<PoisonEvidence>& told,
-                                  bool heard) {
-  Source& source = sources_[address];
-  source.telling = false;
-  if (!heard) {
-    source.next_telling = MonotonicNow() + kRetryPause;
-    return;
-  }
-  for (const PoisonEvidence& one : told) {
-    auto found = untold_.find(one.fingerprint);
-    if (found == untold_.end() || found->second.evidence != one) {
-      continue;
-    }
-    found->second.heard_by.insert(address);
-    if (found->second.heard_by.size() >= std::min(kWatched, sources_.size())) {
-      untold_.erase(found);
-    }
-  }
-}
-
 void ControlFeed::Watch(const std::string& address, Source& source, bool best) {
   source.calling = true;
   WatchRequest request;
--- /dev/null
+++ b/src/libsnipeworks/evidence_outbox_test.cpp
@@ -0,0 +1,58 @@
+#include "snipeworks/evidence_outbox.h"
+
+#include <chrono>
+
+#include <gtest/gtest.h>
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::seconds;
+
+const PoisonEvidence kSuspected{1, "entry-1", {{"a", 1}}, {}, {}};
+const PoisonEvidence kRefused{1,
+                              "entry-1",
+                              {{"a", 1}, {"b", 1}},
+                              {},
+                              seconds(60)};
+
+class EvidenceOutboxes : public testing::Test {
+ protected:
+  std::size_t Left(const char* control) {
+    return outbox_.For(now_, control).size();
+  }
+
+  EvidenceOutbox outbox_;
+  Instant now_{seconds(1000)};
+};
+
+TEST_F(EvidenceOutboxes, TellTwoControlHosts) {
+  outbox_.Add(now_, kSuspected);
+  outbox_.OnHeard("control-1", outbox_.For(now_, "control-1"), 2);
+  EXPECT_EQ(Left("control-1"), 0U);
+  EXPECT_EQ(Left("control-2"), 1U);
+  outbox_.OnHeard("control-3", outbox_.For(now_, "control-3"), 2);
+  EXPECT_TRUE(outbox_.empty());
+}
+
+// The answer to the first call comes when more is known.
+TEST_F(EvidenceOutboxes, TellNewerEvidenceThoughOlderWasHeard) {
+  outbox_.Add(now_, kSuspected);
+  const auto told = outbox_.For(now_, "control-1");
+  outbox_.Add(now_, kRefused);
+  outbox_.OnHeard("control-1", told, 1);
+  ASSERT_EQ(Left("control-1"), 1U);
+  EXPECT_EQ(outbox_.For(now_, "control-1")[0], kRefused);
+}
+
+TEST_F(EvidenceOutboxes, GiveUpWhatNobodyHears) {
+  outbox_.Add(now_, kSuspected);
+  now_ += seconds(29);
+  EXPECT_EQ(Left("control-1"), 1U);
+  now_ += seconds(2);
+  EXPECT_EQ(Left("control-1"), 0U);
+  EXPECT_TRUE(outbox_.empty());
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -83,7 +83,7 @@
 /// What a SearchController hides: all searches of one entry host. Its sources
 /// are split by concern: search_engine.cpp (targets, timers), search_flow.cpp
 /// (from admission to answer), search_outcomes.cpp (attempts) and
-/// search_poison.cpp (requests that break targets).
+/// search_poison.cpp (requests that break targets, and runs of one part alone).
 class SearchEngine {
  public:
   explicit SearchEngine(SearchControllerConfig config);
@@ -144,11 +144,6 @@
   void AddDeadlines(const SearchRun& search);
   void GiveUp(Instant now, RequestId id);
   void Begin(Instant now, SearchRun& search, PoisonTracker::Standing standing);
-  void StartCanary(Instant now, SearchRun& search);
-  std::optional<std::size_t> ChooseCanary(Instant now,
-                                          const SearchRun& search,
-                                          bool again);
-  void GiveUpCanary(Instant now, SearchRun& search);
   void StartFanOut(Instant now, SearchRun& search);
   void Enqueue(SearchRun& search, std::size_t part_index, AttemptKind kind);
   /// What the next attempt of a held part counts as; pays for a retry. Nothing
@@ -204,7 +199,12 @@
   void Hedge(Instant now, AttemptId id);
   void Probe(AttemptId id);
 
-  // Requests that break targets.
+  // Requests that break targets, and runs of one part alone.
+  void StartCanary(Instant now, SearchRun& search);
+  std::optional<std::size_t> ChooseCanary(Instant now,
+                                          const SearchRun& search,
+                                          bool again);
+  void GiveUpCanary(Instant now, SearchRun& search);
   void TakeLoss(Instant now, SearchRun& search, const AttemptRun& run);
   void TakeSurvival(Instant now, SearchRun& search);
   void NoteUnproved(Instant now, const SearchRun& search);
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -12,9 +12,77 @@
 
 // How long the other hosts refuse a suspected request while it is run here.
 constexpr Duration kTestWindow = milliseconds(500);
+// Parts that are compared before one is run alone.
+constexpr std::size_t kCanaryChoices = 8;
 
 }  // namespace
 
+// Of a few held parts from a random one on, the one whose replicas answer
+// fastest, since the whole search waits for it. `again` says whether parts that
+// were tried before are looked at, or the others.
+std::optional<std::size_t> SearchEngine::ChooseCanary(Instant now,
+                                                      const SearchRun& search,
+                                                      bool again) {
+  const Duration reference = EnsureGroup(search.request().group).Reference();
+  const std::size_t count = search.parts().size();
+  const std::size_t offset = random_.Below(count);
+  std::optional<std::size_t> any;
+  std::optional<std::size_t> best;
+  std::optional<double> best_score;
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < count && compared < kCanaryChoices; ++i) {
+    const std::size_t index = (i + offset) % count;
+    const PartRun& part = search.parts()[index];
+    const ReplicaQuery query{now, search.ReplicasOf(index), part.tried,
+                             reference, search.policy()};
+    if (part.status != PartStatus::kHeld || part.started != again ||
+        !MayTryAgain(search, part) || selector_.CountUsable(query) == 0) {
+      continue;
+    }
+    any = any.value_or(index);
+    const std::optional<double> score = selector_.BestScore(query);
+    if (!score) {
+      continue;
+    }
+    ++compared;
+    if (!best_score || *score < *best_score) {
+      best = index;
+      best_score = score;
+    }
+  }
+  return best ? best : any;
+}
+
+// Runs one held part alone: one that was not tried yet if there is any, as the
+// others cost a retry.
+void SearchEngine::StartCanary(Instant now, SearchRun& search) {
+  search.phase = SearchPhase::kCanary;
+  auto chosen = ChooseCanary(now, search, false);
+  if (!chosen) {
+    chosen = ChooseCanary(now, search, true);
+  }
+  const auto kind = chosen ? KindOfNext(now, search, *chosen) : std::nullopt;
+  if (!kind) {
+    GiveUpCanary(now, search);
+    return;
+  }
+  search.canary_part = *chosen;
+  Enqueue(search, search.canary_part, *kind);
+}
+
+// No held part can run: they are missing from what the others answer.
+void SearchEngine::GiveUpCanary(Instant now, SearchRun& search) {
+  for (std::size_t i = 0; i < search.parts().size(); ++i) {
+    const PartRun& part = search.parts()[i];
+    if (part.status == PartStatus::kHeld) {
+      MissPart(search, i,
+               part.started ? part.reason : MissingReason::kNoTarget);
+    }
+  }
+  search.phase = SearchPhase::kFanOut;
+  AfterChange(now, search);
+}
+
 // The canary was answered: the request does not break targets.
 void SearchEngine::TakeSurvival(Instant now, SearchRun& search) {
   const Fingerprint fingerprint = search.fingerprint();
