--- a/src/libsnipeworks/search_controller_test.cpp
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -553,6 +553,27 @@
   EXPECT_LE(arrived_again, 10) << "5% of 200";
 }
 
+// Load pattern: many targets end at once, and what tells a request that ended
+// them from others has to run it again.
+TEST(RetryBudget, CountsRunsAfterTargetsHaveEnded) {
+  FakeTargets fake;
+  fake.AddTargets(1, 6);
+  WarmUp(fake, 100);
+  int arrived_again = 0;
+  fake.behaviour = [&](const AttemptCommand& command) {
+    const bool first = command.kind == AttemptKind::kPrimary;
+    arrived_again += first ? 0 : 1;
+    return FakeReply{milliseconds(10),
+                     first ? AttemptStatus::kLost : AttemptStatus::kAnswered};
+  };
+  for (int i = 0; i < 100; ++i) {
+    fake.Search("q" + std::to_string(i));
+    fake.Run(milliseconds(25));
+  }
+  EXPECT_GT(arrived_again, 0);
+  EXPECT_LE(arrived_again, 10) << "5% of 200";
+}
+
 // Nothing has reached a second target, so nothing is spent.
 TEST(RetryBudget, IsNotSpentByRetriesThatReachNobody) {
   FakeTargets fake;
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -152,8 +152,7 @@
     return {};
   }
   return "; the same request came under other ids too: " +
-         std::to_string(targets.size()) +
-         " targets ended while they had it";
+         std::to_string(targets.size()) + " targets ended while they had it";
 }
 
 std::string Explanation::Text() const {
