Open no second connection to a target that has just sent bytes that are no answer

Cause: since broken connections are asked after, an answer that cannot be parsed led to a new connection to a target that plainly is there; sixty targets that send without end had one more for each part. Such an attempt is failed now, without a question.

It now waits until neither 404 nor 503 comes.

--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -76,6 +76,8 @@
   bool reused_connection = false;
   /// True if nobody listens at the address.
   bool refused = false;
+  /// True if the call was given up for bytes that are no answer.
+  bool malformed = false;
 
   /// The value of header `name`, in any case, or empty.
   std::string_view Header(std::string_view name) const {
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -139,7 +139,8 @@
   AttemptOutcome outcome;
   if (const auto status =
           UnansweredStatus(result.status, AttemptStatus::kFailed)) {
-    outcome.status = *status;
+    // Who sends bytes that are no answer is there.
+    outcome.status = result.malformed ? AttemptStatus::kFailed : *status;
     return outcome;
   }
   outcome.load = ParseLoad(result.Header(names.load));
--- a/src/libsnipeworks/forward_gateway_test.cpp
+++ b/src/libsnipeworks/forward_gateway_test.cpp
@@ -103,6 +103,16 @@
             AttemptStatus::kFailed);
 }
 
+// Load pattern: targets that send bytes without end get no second connection
+// for each of them.
+TEST(ForwardOutcomes, AskNobodyWhoHasJustSentBytesWhetherItIsThere) {
+  HttpCallResult result;
+  result.status = HttpCallStatus::kLost;
+  EXPECT_EQ(ForwardOutcomeOf(result, {}).status, AttemptStatus::kLost);
+  result.malformed = true;
+  EXPECT_EQ(ForwardOutcomeOf(result, {}).status, AttemptStatus::kFailed);
+}
+
 TEST(ForwardGateways, AreNotHeldUpByTheQuestionWhenTheAttemptIsCancelled) {
   EXPECT_EQ(EndOfABrokenAttempt(ScriptedServer::Afterwards::kListens, {}, true),
             AttemptStatus::kCancelled);
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -415,6 +415,7 @@
     if (too_large) {
       GiveUpAnswer(transfer);
     } else if (HTTP_PARSER_ERRNO(&connection.parser) != HPE_OK) {
+      transfer.result.malformed = true;
       Fail(connection);
     }
     while (held_ > limits_.held_bytes) {
--- a/testsuite/endless_answers/run.py
+++ b/testsuite/endless_answers/run.py
@@ -77,7 +77,7 @@
                     deployment.zones[0]] + deployment.controls, deployment.path("endless.log"))
     bad = []
     wait_for("the targets are known", lambda: Call(
-        deployment.entries[0], "bad.test", "/x", deadline_ms=500).finish().status != 503, 15)
+        deployment.entries[0], "bad.test", "/x", deadline_ms=500).finish().status not in (404, 503), 15)
     host = deployment.processes["entry-1"]
     stop = threading.Event()
 
