--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -192,6 +192,8 @@
      "*CrashingRequests.ThatMayRunOnce*"),
     ("forwarded-loss-asked-again", LIB + "forward_gateway.cpp", "} else if (!result.refused) {",
      "} else if (false) {", "ForwardGateways.TellATarget*"),
+    ("sender-is-there", LIB + "forward_gateway.cpp",
+     "result.malformed ? AttemptStatus::kFailed : *status;", "*status;", "ForwardOutcomes.AskNobody*"),
     ("settled-connection", LIB + "http_client.cpp", "MonotonicNow() + kSettleTime", "MonotonicNow()",
      "ForwardGateways.TellATarget*"),
     ("alone-within-budget", LIB + "search_flow.cpp",
