--- a/src/include/snipeworks/evidence_log.h
+++ b/src/include/snipeworks/belief_log.h
@@ -1,11 +1,15 @@
-#ifndef SNIPEWORKS_EVIDENCE_LOG_H_
-#define SNIPEWORKS_EVIDENCE_LOG_H_
+#ifndef SNIPEWORKS_BELIEF_LOG_H_
+#define SNIPEWORKS_BELIEF_LOG_H_
 
+#include "snipeworks/announcement.h"
 #include "snipeworks/event_log.h"
 #include "snipeworks/poison_tracker.h"
 
 namespace snipeworks {
 
+/// Writes what a host believes of a target from now on; `source` is who told.
+void LogTarget(EventLog& log, const Announcement& news, const char* source);
+
 /// Writes what counts against a request; `source` is who has told it.
 void LogEvidence(EventLog& log,
                  const PoisonEvidence& evidence,
@@ -13,4 +17,4 @@
 
 }  // namespace snipeworks
 
-#endif  // SNIPEWORKS_EVIDENCE_LOG_H_
+#endif  // SNIPEWORKS_BELIEF_LOG_H_
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -70,7 +70,6 @@
   /// True if the targets of this host's zone are enough for `plan`.
   bool ZoneCanServe(Instant now, const SearchPlan& plan) const;
   void OnTargets(const std::vector<Announcement>& changes);
-  void LogTarget(const Announcement& news, const char* source);
   std::vector<Announcement> DrainedTargets() const;
   void OnRouting(const Routing& routing);
   void OnConditions(const std::vector<TargetCondition>& conditions);
--- a/src/libsnipeworks/evidence_log.cpp
+++ b/src/libsnipeworks/belief_log.cpp
@@ -1,9 +1,19 @@
-#include "snipeworks/evidence_log.h"
+#include "snipeworks/belief_log.h"
 
 #include <string>
 
 namespace snipeworks {
 
+void LogTarget(EventLog& log, const Announcement& news, const char* source) {
+  log.Write(EventKind::kTargetChanged, {{"target", news.target},
+                                        {"group", news.group},
+                                        {"address", news.address},
+                                        {"state", ToString(news.state)},
+                                        {"incarnation", news.incarnation},
+                                        {"sequence", news.sequence},
+                                        {"source", source}});
+}
+
 void LogEvidence(EventLog& log,
                  const PoisonEvidence& evidence,
                  const char* source) {
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -6,8 +6,8 @@
 
 #include <xxhash.h>
 
+#include "snipeworks/belief_log.h"
 #include "snipeworks/compression.h"
-#include "snipeworks/evidence_log.h"
 
 namespace snipeworks {
 
@@ -58,13 +58,7 @@
   if (news.state != TargetState::kServing) {
     urgent_serial_ = directory_.serial();
   }
-  log_.Write(EventKind::kTargetChanged, {{"target", news.target},
-                                         {"group", news.group},
-                                         {"address", news.address},
-                                         {"state", ToString(news.state)},
-                                         {"incarnation", news.incarnation},
-                                         {"sequence", news.sequence},
-                                         {"source", source}});
+  LogTarget(log_, news, source);
 }
 
 void ControlMembership::OnReport(const Announcement& news,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -9,8 +9,8 @@
 
 #include <glog/logging.h>
 
+#include "snipeworks/belief_log.h"
 #include "snipeworks/caller_api.h"
-#include "snipeworks/evidence_log.h"
 #include "snipeworks/target_directory.h"
 
 namespace snipeworks {
@@ -22,9 +22,6 @@
 constexpr Duration kMaxTick = milliseconds(20);
 // A loop that did not turn for so long is told in the log.
 constexpr Duration kStall = milliseconds(1000);
-constexpr Duration kTrafficInterval = milliseconds(5000);
-// One success in so many is written to the log.
-constexpr std::uint64_t kSuccessSample = 64;
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 // After a loss of power the control hosts come up, elect a leader and tell the
 // routes within about this time; a caller that comes back sooner meets the
@@ -314,7 +311,7 @@
   for (const Announcement& news : changes) {
     const AnnounceResult taken = searches_.Announce(now, news);
     if (taken == AnnounceResult::kChange) {
-      LogTarget(news, "control");
+      LogTarget(log_, news, "control");
       if (news.state != TargetState::kServing) {
         gateway_.Withdraw(news.target);
       }
@@ -322,16 +319,6 @@
   }
 }
 
-void ForwardHost::LogTarget(const Announcement& news, const char* source) {
-  log_.Write(EventKind::kTargetChanged, {{"target", news.target},
-                                         {"group", news.group},
-                                         {"address", news.address},
-                                         {"state", ToString(news.state)},
-                                         {"incarnation", news.incarnation},
-                                         {"sequence", news.sequence},
-                                         {"source", source}});
-}
-
 std::vector<Announcement> ForwardHost::DrainedTargets() const {
   std::vector<Announcement> drained;
   for (const Announcement* target : searches_.view().All()) {
@@ -405,26 +392,6 @@
   log_.FlushIfDue(now);
 }
 
-void ForwardHost::LogTraffic(Instant now) {
-  if (now < traffic_due_) {
-    return;
-  }
-  traffic_due_ = now + kTrafficInterval;
-  const HttpVolume& own = gateway_.traffic().own_zone;
-  const HttpVolume& other = gateway_.traffic().other_zone;
-  log_.Write(EventKind::kTraffic,
-             {{"own_calls", own.calls},
-              {"own_connections", own.connections},
-              {"own_sent", own.sent_bytes},
-              {"own_received", own.received_bytes},
-              {"other_calls", other.calls},
-              {"other_connections", other.connections},
-              {"other_sent", other.sent_bytes},
-              {"other_received", other.received_bytes},
-              {"peer_sent", peers_.traffic().bytes_sent},
-              {"peer_received", peers_.traffic().bytes_received}});
-}
-
 bool ForwardHost::IsElsewhere(const std::string& target) const {
   const Announcement* known = searches_.view().Find(target);
   return known != nullptr && known->zone != settings_.zone();
@@ -442,17 +409,6 @@
          plan.policy.min_coverage_permille * std::ssize(plan.groups);
 }
 
-void ForwardHost::LogReadiness() {
-  const bool now_ready = ready();
-  if (now_ready != std::exchange(told_ready_, now_ready)) {
-    log_.Write(now_ready ? EventKind::kReady : EventKind::kUnready,
-               {{"routing_version", feed_.routing_version()},
-                {"targets", searches_.view().All().size()},
-                {"leaving", leaving_},
-                {"cut_off", reach_.cut_off()}});
-  }
-}
-
 void ForwardHost::Do(const SearchAction& action) {
   if (const auto* start = std::get_if<StartAttempt>(&action)) {
     const AttemptCommand& command = start->command;
@@ -482,7 +438,7 @@
   } else if (const auto* withdraw = std::get_if<WithdrawUnsent>(&action)) {
     gateway_.Withdraw(withdraw->target);
   } else if (const auto* leaves = std::get_if<ReportLeaving>(&action)) {
-    LogTarget(leaves->news, "answer");
+    LogTarget(log_, leaves->news, "answer");
     feed_.TellLeaving(leaves->news);
   } else if (const auto* share = std::get_if<ShareEvidence>(&action)) {
     LogEvidence(log_, share->evidence, "own");
@@ -549,74 +505,4 @@
   front_->Answer(running.exchange, response);
 }
 
-void ForwardHost::LogFinish(const Running& running,
-                            const FinishSearch& finish,
-                            int status) {
-  const bool whole = finish.result && finish.result->coverage.complete();
-  const Duration took = MonotonicNow() - running.started;
-  const bool in_time =
-      took <= milliseconds(running.request.plan->policy.objective_ms);
-  const bool plain = whole && in_time;
-  if (plain && ++successes_ % kSuccessSample != 0) {
-    return;
-  }
-  AttemptCounts attempts;
-  std::size_t parts = running.request.plan->groups.size();
-  std::size_t answered = 0;
-  std::string missing;
-  if (finish.result) {
-    attempts = finish.result->attempts;
-    answered = finish.result->coverage.parts_answered;
-    for (const MissingPart& part : finish.result->coverage.missing) {
-      missing += (missing.empty() ? "" : " ") +
-                 running.request.plan->groups[part.part] + ":" +
-                 ToString(part.reason);
-    }
-  }
-  log_.Write(
-      EventKind::kRequest,
-      {{"request", running.request.forwarded->request_id},
-       {"route", running.request.group},
-       {"fingerprint", std::to_string(running.request.forwarded->fingerprint)},
-       {"routing_version", running.request.plan->version},
-       {"outcome", finish.result ? (whole ? "complete" : "partial")
-                                 : RowOf(finish.result.error().kind).name},
-       {"detail", finish.result ? std::string() : finish.result.error().detail},
-       {"status", status},
-       {"took_ms", took},
-       {"objective_ms", running.request.plan->policy.objective_ms},
-       {"deadline_ms", *running.request.budget},
-       {"parts", parts},
-       {"answered", answered},
-       {"missing", missing},
-       {"hedges", attempts.hedge},
-       {"retries", attempts.retry},
-       {"replacements", attempts.replacement},
-       {"sampled_one_in", plain ? kSuccessSample : 1}});
-}
-
-std::string ForwardHost::MetricsPage() {
-  EntryGauges gauges;
-  gauges.running = searches_.running();
-  gauges.waiting = searches_.waiting();
-  const auto all = searches_.view().All();
-  gauges.targets = all.size();
-  const Instant now = MonotonicNow();
-  gauges.targets_usable = static_cast<std::size_t>(
-      std::ranges::count_if(all, [&](const Announcement* one) {
-        return searches_.view().Usable(now, one->target) != nullptr;
-      }));
-  gauges.quarantined = searches_.Quarantined(now).size();
-  gauges.settings_version = feed_.routing_version();
-  gauges.ready = ready();
-  gauges.cut_off = reach_.cut_off();
-  gauges.log_lines = log_.lines();
-  gauges.log_lines_dropped = log_.dropped();
-  gauges.control_hosts = feed_.connected(now);
-  gauges.connections = front_->connections();
-  gauges.peers = peers_.traffic();
-  gauges.targets_traffic = gateway_.traffic();
-  return metrics_.Page(gauges);
-}
-
 }  // namespace snipeworks
--- /dev/null
+++ b/src/libsnipeworks/search_poison_test.cpp
@@ -0,0 +1,203 @@
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "fake_targets_test.h"
+#include "snipeworks/search_controller.h"
+
+namespace snipeworks {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A fleet of entry hosts that share evidence, over the same targets.
+class PoisonFleet {
+ public:
+  explicit PoisonFleet(std::size_t hosts) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      fakes.push_back(std::make_unique<FakeTargets>(
+          i + 1, 1, "entry-" + std::to_string(i + 1)));
+      FakeTargets& fake = *fakes.back();
+      fake.AddTargets(6, 3);
+      fake.behaviour = [this](const AttemptCommand& command) {
+        FakeReply reply{milliseconds(10)};
+        if (command.query->find("poison") != std::string::npos) {
+          broken.insert(command.target);
+          reply = {milliseconds(3), AttemptStatus::kLost};
+        }
+        return reply;
+      };
+      fake.tell_others = [this, i](const PoisonEvidence& evidence) {
+        bool running = false;
+        for (std::size_t other = 0; other < fakes.size(); ++other) {
+          if (other != i) {
+            running |= fakes[other]->controller.OnEvidence(fakes[other]->now,
+                                                           evidence);
+          }
+        }
+        return running;
+      };
+    }
+  }
+
+  void Run(Duration length) {
+    for (Duration done{}; done < length; done += milliseconds(5)) {
+      for (auto& fake : fakes) {
+        fake->Run(milliseconds(5));
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<FakeTargets>> fakes;
+  std::set<std::string> broken;
+};
+
+TEST(Poison, ResentThroughEveryHostForAMinuteBreaksTwoTargets) {
+  PoisonFleet fleet(8);
+  for (int i = 0; i < 200; ++i) {
+    FakeTargets& fake = *fleet.fakes[static_cast<std::size_t>(i) % 8];
+    const RequestId id = fake.Search("poison");
+    fleet.Run(milliseconds(100));
+    ASSERT_TRUE(fake.Finished(id));
+    ASSERT_FALSE(fake.ResultOf(id));
+    EXPECT_GT(fake.ResultOf(id).error().retry_after.value_or(Duration{}),
+              Duration{});
+    EXPECT_LE(fake.LatencyOf(id), milliseconds(30));
+  }
+  EXPECT_LE(fleet.broken.size(), 2U);
+}
+
+// Each time with another key, so that claims do not stop it.
+TEST(Poison, AnActionIsRefusedOnAllHostsOnceTwoTargetsEnded) {
+  PoisonFleet fleet(2);
+  const ActionNeed need{"g", 77};
+  AttemptOutcome lost;
+  lost.status = AttemptStatus::kLost;
+  std::size_t ended = 0;
+  for (int i = 0; i < 10; ++i) {
+    FakeTargets& fake = *fleet.fakes[static_cast<std::size_t>(i) % 2];
+    const auto target = fake.controller.TakeTarget(fake.now, need, {});
+    if (target) {
+      ++ended;
+      fake.controller.ReleaseTarget(fake.now, need, *target, lost,
+                                    milliseconds(3));
+    } else {
+      EXPECT_EQ(target.error().kind, ErrorKind::kQuarantined);
+      EXPECT_GT(target.error().retry_after.value_or(Duration{}), Duration{});
+    }
+    fleet.Run(milliseconds(20));
+  }
+  EXPECT_EQ(ended, 2U);
+  FakeTargets& fake = *fleet.fakes[0];
+  EXPECT_TRUE(fake.controller.TakeTarget(fake.now, {"g", 78}, {}))
+      << "others go on";
+}
+
+TEST(Poison, ATargetThatDiesCondemnsNoInnocentRequest) {
+  FakeTargets fake;
+  fake.slots = 50;
+  fake.AddTargets(4, 3);
+  WarmUp(fake);
+  fake.behaviour = [&fake](const AttemptCommand& command) {
+    FakeReply reply{milliseconds(10)};
+    if (command.target == "t0-0" && fake.now < Instant(seconds(1002))) {
+      reply = {milliseconds(5), AttemptStatus::kLost};
+    }
+    return reply;
+  };
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 40; ++i) {
+    ids.push_back(fake.Search("q" + std::to_string(i)));
+  }
+  fake.Run(seconds(2));
+  for (RequestId id : ids) {
+    ASSERT_TRUE(fake.ResultOf(id)) << fake.ResultOf(id).error().detail;
+    EXPECT_TRUE(fake.ResultOf(id)->coverage.complete());
+  }
+  EXPECT_TRUE(fake.controller.Quarantined(fake.now).empty());
+}
+
+TEST(Poison, AQuarantineEndsAndCanBeReleased) {
+  PoisonFleet fleet(1);
+  FakeTargets& fake = *fleet.fakes[0];
+  fake.Search("poison");
+  fleet.Run(milliseconds(200));
+  const auto held = fake.controller.Quarantined(fake.now);
+  ASSERT_EQ(held.size(), 1U);
+  const RequestId refused = fake.Search("poison");
+  EXPECT_EQ(fake.ResultOf(refused).error().kind, ErrorKind::kQuarantined);
+  EXPECT_TRUE(fake.controller.Release(held[0]));
+  EXPECT_TRUE(fake.controller.Quarantined(fake.now).empty());
+}
+
+/// How many of 100 searches are tried again on targets that get it, after 100
+/// that were not. First attempts end with `first`, retries with `retry`; what
+/// takes the place of those that reached nobody is answered.
+int ArrivalsAfterTheFirst(AttemptStatus first, AttemptStatus retry) {
+  FakeTargets fake;
+  fake.AddTargets(1, 6);
+  WarmUp(fake, 100);
+  int arrived = 0;
+  fake.behaviour = [&](const AttemptCommand& command) {
+    AttemptStatus status = AttemptStatus::kAnswered;
+    if (command.kind == AttemptKind::kPrimary) {
+      status = first;
+    } else if (command.kind == AttemptKind::kRetry) {
+      status = retry;
+    }
+    const bool again = command.kind != AttemptKind::kPrimary;
+    arrived += again && status != AttemptStatus::kNotSent ? 1 : 0;
+    return FakeReply{milliseconds(5), status};
+  };
+  for (int i = 0; i < 100; ++i) {
+    fake.Search("q" + std::to_string(i));
+    fake.Run(milliseconds(25));
+  }
+  return arrived;
+}
+
+// 5% of 200.
+constexpr int kAllowed = 10;
+
+// Load pattern: targets end one after the other, so that retries meet others
+// that are down and go on to a third.
+TEST(RetryBudget, CountsARetryThatArrivesOnlyAtItsNextTarget) {
+  const int arrived =
+      ArrivalsAfterTheFirst(AttemptStatus::kFailed, AttemptStatus::kNotSent);
+  EXPECT_GT(arrived, 0);
+  EXPECT_LE(arrived, kAllowed);
+}
+
+// Load pattern: many targets end at once, and what tells a request that ended
+// them from others has to run it again.
+TEST(RetryBudget, CountsRunsAfterTargetsHaveEnded) {
+  const int arrived =
+      ArrivalsAfterTheFirst(AttemptStatus::kLost, AttemptStatus::kAnswered);
+  EXPECT_GT(arrived, 0);
+  EXPECT_LE(arrived, kAllowed);
+}
+
+// Nothing has reached a second target, so nothing is spent.
+TEST(RetryBudget, IsNotSpentByRetriesThatReachNobody) {
+  FakeTargets fake;
+  fake.AddTargets(1, 3);
+  WarmUp(fake, 100);
+  fake.behaviour = [](const AttemptCommand& command) {
+    const bool first = command.kind == AttemptKind::kPrimary;
+    return first ? FakeReply{milliseconds(10), AttemptStatus::kFailed}
+                 : FakeReply{milliseconds(1), AttemptStatus::kNotSent};
+  };
+  for (int i = 0; i < 50; ++i) {
+    fake.Search("q");
+    fake.Run(milliseconds(25));
+  }
+  EXPECT_GT(fake.sent[AttemptKind::kRetry], 20);
+}
+
+}  // namespace
+}  // namespace snipeworks
