--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -37,6 +37,9 @@
   void SetMaxConnections(const std::string& address,
                          std::uint32_t max_connections);
 
+  /// See HttpClient.
+  void SimulateCut(std::optional<CutKind> cut) { client_.SimulateCut(cut); }
+
   const HttpClientTraffic& traffic() const { return client_.traffic(); }
 
  private:
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -55,6 +55,7 @@
     Instant started{};
   };
 
+  HttpResponse OnFaultInjection(const HttpRequest& request);
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnCallerDisconnected(ExchangeId exchange);
   void Reject(ExchangeId exchange,
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -82,6 +82,8 @@
   bool reused_connection = false;
   /// True if nothing listens at the address.
   bool connection_refused = false;
+  /// True if a connection was tried and could not be opened.
+  bool connect_failed = false;
   /// True if the call failed because the bytes received are no valid response.
   bool malformed = false;
 
@@ -103,6 +105,16 @@
                           const HttpClientLimits&) = default;
 };
 
+/// What a simulated network partition does to a client's connections.
+enum class CutKind {
+  kSilent,     ///< Nothing is sent or received any more.
+  kReset,      ///< Open connections are reset, and new ones are refused.
+  kRefuseNew,  ///< Open connections stay, and new ones are refused.
+};
+
+/// The kind named "silent", "reset" or "refuse-new", or nothing.
+std::optional<CutKind> ParseCutKind(std::string_view name);
+
 /// Calls, connections and bytes of a client.
 struct HttpTrafficCounters {
   std::uint64_t calls = 0;
@@ -151,6 +163,10 @@
   /// of its generation: none of them is used for a new call.
   void RetireConnectionGeneration(HttpCallId call);
 
+  /// Simulates a network partition from all servers, or ends it, for failure
+  /// tests.
+  void SimulateCut(std::optional<CutKind> cut);
+
   const HttpClientTraffic& traffic() const;
 
  private:
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -8,8 +8,10 @@
 #include <utility>
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 #include "snipeworks/caller_api.h"
+#include "snipeworks/json_reader.h"
 #include "snipeworks/shutdown_admission.h"
 #include "snipeworks/target_directory.h"
 #include "snipeworks/target_events.h"
@@ -35,6 +37,7 @@
 // Retry-After of a request that comes too late in a stop: callers' new
 // connections already go to other hosts.
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
+constexpr char kFaultsPath[] = "/v1/faults";
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
 
@@ -161,9 +164,13 @@
   if (settings_.metrics().port != 0) {
     auto listener = HttpListener::Start(
         loop_, settings_.metrics(), {},
-        {[this](ExchangeId exchange, const HttpRequest&) {
+        {[this](ExchangeId exchange, const HttpRequest& request) {
+           const bool fault =
+               settings_.allow_faults() && request.path == kFaultsPath;
            metrics_listener_->SendResponse(
-               exchange, {200, "text/plain; version=0.0.4", MetricsPage()});
+               exchange, fault ? OnFaultInjection(request)
+                               : HttpResponse{200, "text/plain; version=0.0.4",
+                                              MetricsPage()});
          },
          [](ExchangeId) {}});
     if (!listener) {
@@ -536,4 +543,20 @@
   front_->SendResponse(running.exchange, response);
 }
 
+HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
+  auto document = ParseJson(request.body);
+  if (!document) {
+    return ToHttpResponse(document.error());
+  }
+  JsonReader reader(*document);
+  const std::string cut = reader.String("targets");
+  const std::optional<CutKind> kind = ParseCutKind(cut);
+  if (!reader.ok() || (!kind && cut != "none")) {
+    return {400, "text/plain",
+            "targets: must be silent, reset, refuse-new or none\n"};
+  }
+  gateway_.SimulateCut(kind);
+  return {200, "text/plain", "ok\n"};
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -165,6 +165,19 @@
     }
   }
 
+  void SimulateCut(std::optional<CutKind> cut) {
+    const std::optional<CutKind> before = std::exchange(cut_, cut);
+    const std::vector<HttpConnection*> open(connections_.begin(),
+                                            connections_.end());
+    for (HttpConnection* connection : open) {
+      if (cut == CutKind::kSilent) {
+        connection->cut = true;
+      } else if (cut == CutKind::kReset || (before && connection->cut)) {
+        OnConnectionBroken(*connection);
+      }
+    }
+  }
+
   const HttpClientTraffic& traffic() const { return traffic_; }
 
  private:
@@ -311,6 +324,15 @@
     transfer.connect_deadline = MonotonicNow() + transfer.call.connect_timeout;
     deadlines_.Add(transfer.connect_deadline, transfer.id);
     SetTimer();
+    connection->cut = cut_.has_value();
+    if (cut_ && cut_ != CutKind::kSilent) {
+      transfer.result.connection_refused = true;
+      transfer.result.connect_failed = true;
+      EndCallLater(transfer, HttpCallStatus::kNotSent);
+    }
+    if (cut_) {
+      return;
+    }
     const int started = uv_tcp_connect(
         &connection->connect, &connection->handle,
         reinterpret_cast<const sockaddr*>(&pool.address),
@@ -321,6 +343,7 @@
           }
         });
     if (started != 0) {
+      transfer.result.connect_failed = true;
       EndCallLater(transfer, HttpCallStatus::kNotSent);
     }
   }
@@ -329,6 +352,7 @@
     if (status != 0) {
       connection.transfer->result.connection_refused =
           status == UV_ECONNREFUSED || status == UV_ECONNRESET;
+      connection.transfer->result.connect_failed = true;
       OnConnectionBroken(connection);
       return;
     }
@@ -344,7 +368,7 @@
         },
         [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
           auto& read = *static_cast<HttpConnection*>(stream->data);
-          if (read.closing || size == 0) {
+          if (read.closing || read.cut || size == 0) {
             return;
           }
           if (size > 0) {
@@ -374,6 +398,9 @@
     connection.write_buffer = Serialize(transfer.call);
     connection.sent = true;
     CountersFor(transfer).sent_bytes += connection.write_buffer.size();
+    if (connection.cut) {
+      return;
+    }
     auto* stream = reinterpret_cast<uv_stream_t*>(&connection.handle);
     uv_buf_t buffer =
         uv_buf_init(connection.write_buffer.data(),
@@ -574,6 +601,7 @@
       } else if (connection != nullptr && !connection->connected &&
                  now >= transfer.connect_deadline) {
         ++traffic_.connections_failed;
+        transfer.result.connect_failed = true;
         EndCallLater(transfer, HttpCallStatus::kNotSent);
       }
     }
@@ -606,6 +634,7 @@
   TimerQueue<HttpCallId> deadlines_;
   HttpCallId next_id_ = 1;
   HttpClientTraffic traffic_;
+  std::optional<CutKind> cut_;  ///< The simulated partition.
   std::array<char, kReadBufferBytes> buffer_;
   LoopTimer deadline_timer_;
   LoopTimer idle_timer_;
@@ -637,6 +666,10 @@
   impl_->RetireGeneration(call);
 }
 
+void HttpClient::SimulateCut(std::optional<CutKind> cut) {
+  impl_->SimulateCut(cut);
+}
+
 const HttpClientTraffic& HttpClient::traffic() const {
   return impl_->traffic();
 }
--- a/src/libsnipeworks/http_client_state.cpp
+++ b/src/libsnipeworks/http_client_state.cpp
@@ -115,4 +115,17 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+std::optional<CutKind> ParseCutKind(std::string_view name) {
+  if (name == "silent") {
+    return CutKind::kSilent;
+  }
+  if (name == "reset") {
+    return CutKind::kReset;
+  }
+  if (name == "refuse-new") {
+    return CutKind::kRefuseNew;
+  }
+  return std::nullopt;
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/http_client_state.h
+++ b/src/libsnipeworks/http_client_state.h
@@ -75,6 +75,7 @@
   bool reusable = true;
   bool value_seen = false;
   bool response_complete = false;
+  bool cut = false;             ///< Silent in a simulated partition.
   bool counted_in_pool = true;  ///< Whether it counts in pool->open.
   Instant idle_since{};
   Instant reusable_until{};
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -21,7 +21,7 @@
 
 class Deployment:
     def __init__(self, programs, controls=3, entries=2, zones=3, groups=4, network=31,
-                 slots=3, work_us=4000, folder=None, crash_on=None):
+                 slots=3, work_us=4000, folder=None, crash_on=None, entry_settings=None):
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-forward-")
         self.network = network
@@ -35,6 +35,7 @@
         self.work_us = work_us
         self.processes = {}
         self.version = 0
+        self.entry_settings = entry_settings or {}
         self.crash_on = crash_on  # If set, each target runs in its own process.
         self.proxies = []  # One in front of each target, if start() is given a proxy.
 
@@ -72,7 +73,8 @@
                 # stopped without it too.
                 policy={"canary": 2, "probe_silent": 0, "slow_start_ms": 0,
                         "hedge_percentile": 95, "extra_attempts_percent": 20,
-                        "extra_attempts_slack": 60, "other_zone_percent": 200, "eject_ms": 500})
+                        "extra_attempts_slack": 60, "other_zone_percent": 200, "eject_ms": 500},
+                **self.entry_settings)
             self.launch(name, "snipe-forward", "--settings", path)
         for i, zone in enumerate(self.zones):
             port = self.first_port + 20 * i
