Tell from the log when an entry host has lost all its targets

The log could not tell whether a host without targets notices that: lines of attempts are left out beyond 200 a second, and contact with control hosts counted as a proof. TargetContact raises a suspicion when several targets are overdue and none responds, or when several connections cannot be opened, and tests other targets before it believes. It only observes in this commit: event target_contact, gauge snipeworks_targets_lost.

--- a/src/include/snipeworks/attempt.h
+++ b/src/include/snipeworks/attempt.h
@@ -119,6 +119,10 @@
   Duration retry_after{};
   /// True if the target reports that it drains, whatever its status.
   bool draining = false;
+  /// True if the attempt used a connection that was opened for it.
+  bool new_connection = false;
+  /// True if no connection could be opened.
+  bool connect_failed = false;
 
   friend bool operator==(const AttemptOutcome&,
                          const AttemptOutcome&) = default;
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -25,6 +25,7 @@
   std::uint64_t settings_version = 0;
   bool ready = false;
   bool cut_off = false;  ///< No other zone can be reached.
+  bool targets_lost = false;  ///< No target can be reached.
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
   std::size_t control_hosts = 0;  ///< That answered recently.
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -32,6 +32,7 @@
   kAttempt,
   kHedgeSkipped,
   kTargetLimit,
+  kTargetContact,
   kEvidence,
   kCallerGone,
   kRequestRejected,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -20,6 +20,7 @@
 #include "snipeworks/random.h"
 #include "snipeworks/reachability_monitor.h"
 #include "snipeworks/search_controller.h"
+#include "snipeworks/target_contact.h"
 
 namespace snipeworks {
 
@@ -55,6 +56,8 @@
     Instant started{};
   };
 
+  void UpdateContact(Instant now);
+  void TestConnections(Instant now, std::size_t count);
   HttpResponse OnFaultInjection(const HttpRequest& request);
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnCallerDisconnected(ExchangeId exchange);
@@ -93,6 +96,8 @@
   ForwardGateway gateway_;
   ControlFeed feed_;
   ReachabilityMonitor reachability_;
+  TargetContact contact_;
+  ContactState logged_contact_ = ContactState::kReached;
   LoopTimer timer_;
   std::unique_ptr<HttpListener> front_;
   std::unique_ptr<HttpListener> ready_listener_;
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -54,6 +54,8 @@
 
   /// Returns all announcements that have not been forgotten, sorted by target.
   std::vector<const Announcement*> All() const;
+  /// Number of targets that All() returns.
+  std::size_t size() const { return records_.size(); }
 
   /// Returns targets of `group` that may get new work at `now`, sorted by
   /// target.
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -112,6 +112,9 @@
   Gauge& cut_off = AddGauge(registry,
                             "snipeworks_cut_off",
                             "1 if this host reaches no other zone");
+  Gauge& targets_lost = AddGauge(registry,
+                                 "snipeworks_targets_lost",
+                                 "1 if this host reaches no target");
   Gauge& log_lines =
       AddGauge(registry, "snipeworks_log_lines", "Event lines written");
   Gauge& log_lines_dropped = AddGauge(registry,
@@ -211,6 +214,7 @@
   impl_->settings.Set(static_cast<double>(gauges.settings_version));
   impl_->ready.Set(gauges.ready ? 1.0 : 0.0);
   impl_->cut_off.Set(gauges.cut_off ? 1.0 : 0.0);
+  impl_->targets_lost.Set(gauges.targets_lost ? 1.0 : 0.0);
   impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -56,6 +56,9 @@
              "an attempt is slow and gets no second one beside it"},
     EventRow{EventKind::kTargetLimit, "target_limit", false,
              "a target limits the requests that it takes, or no longer does"},
+    EventRow{EventKind::kTargetContact, "target_contact", true,
+             "the host reaches its targets, suspects that it does not, or has "
+             "lost all of them"},
     EventRow{EventKind::kEvidence, "evidence", false,
              "targets have ended under a request, or it was cleared of that"},
     EventRow{EventKind::kCallerGone, "caller_gone", false,
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -92,7 +92,11 @@
   const HttpCallId sent = client_.Send(
       std::move(call), [this, id = command.id, snapshot = command.snapshot,
                         part = command.part](HttpCallResult&& result) {
+        const bool new_connection = !result.reused_connection;
+        const bool connect_failed = result.connect_failed;
         AttemptOutcome outcome = ForwardOutcomeOf(std::move(result), names_);
+        outcome.new_connection = new_connection;
+        outcome.connect_failed = connect_failed;
         outcome.snapshot = snapshot;
         outcome.part = part;
         if (outcome.status == AttemptStatus::kLost) {
@@ -140,6 +144,21 @@
       });
 }
 
+void ForwardGateway::TestConnection(const std::string& address,
+                                    std::function<void(bool)> done) {
+  HttpCall call;
+  call.address = address;
+  call.connect_only = true;
+  call.timeout = kConnectTimeout;
+  call.connect_timeout = kConnectTimeout;
+  client_.Send(std::move(call),
+               [done = std::move(done)](const HttpCallResult& result) {
+                 // A target at its connection limit resets the connection.
+                 done(result.status == HttpCallStatus::kAnswered ||
+                      result.status == HttpCallStatus::kLost);
+               });
+}
+
 void ForwardGateway::Cancel(AttemptId attempt) {
   auto found = running_.find(attempt);
   if (found != running_.end()) {
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -417,6 +417,7 @@
     SetNextTimer();
   }
   reachability_.Update(now, feed_.quorum_reachable(now));
+  UpdateContact(now);
   LogTraffic(now);
   LogReadiness();
   log_.FlushIfDue(now);
@@ -443,9 +444,16 @@
   if (const auto* start = std::get_if<StartAttempt>(&action)) {
     const AttemptCommand& command = start->command;
     metrics_.OnAttempt(command.group, command.kind);
+    const Instant now = MonotonicNow();
     if (IsInOtherZone(command.target)) {
-      reachability_.OnSent(MonotonicNow());
+      reachability_.OnSent(now);
     }
+    const auto running =
+        running_.find(searches_.FindAttempt(command.id).request);
+    contact_.OnSent(now, command.id, command.target,
+                    running == running_.end()
+                        ? Duration{}
+                        : searches_.SlowLatency(running->second.request.group));
     if (const Announcement* target = searches_.view().Find(command.target)) {
       gateway_.SetMaxConnections(command.address,
                                  searches_.ConnectionShare(*target));
@@ -504,6 +512,11 @@
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
   metrics_.OnOutcome(outcome.status);
   const auto [request, target, fingerprint] = searches_.FindAttempt(attempt);
+  contact_.OnEnded(MonotonicNow(), attempt, HasResponded(outcome),
+                   outcome.new_connection);
+  if (outcome.connect_failed || outcome.status == AttemptStatus::kLost) {
+    contact_.OnConnectionFailed(MonotonicNow(), target);
+  }
   if (HasResponded(outcome) && IsInOtherZone(target)) {
     reachability_.OnResponse();
   }
@@ -543,6 +556,39 @@
   front_->SendResponse(running.exchange, response);
 }
 
+void ForwardHost::UpdateContact(Instant now) {
+  TestConnections(now, contact_.Update(now, searches_.view().size()));
+  const ContactState state = contact_.state();
+  if (std::exchange(logged_contact_, state) != state) {
+    log_.Write(EventKind::kTargetContact,
+               {{"state", ToString(state)},
+                {"silent_ms", now - contact_.last_contact()},
+                {"running", running_.size()}});
+  }
+}
+
+void ForwardHost::TestConnections(Instant now, std::size_t count) {
+  if (count == 0) {
+    return;
+  }
+  std::vector<const Announcement*> targets = searches_.view().All();
+  std::erase_if(targets, [&](const Announcement* target) {
+    return searches_.view().Usable(now, target->target) == nullptr;
+  });
+  for (std::size_t i = 0; i < count; ++i) {
+    if (targets.empty()) {
+      contact_.OnTest(now, false);
+      continue;
+    }
+    const std::size_t chosen = random_.Below(targets.size());
+    const std::string address = targets[chosen]->address;
+    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
+    gateway_.TestConnection(address, [this](bool reached) {
+      contact_.OnTest(MonotonicNow(), reached);
+    });
+  }
+}
+
 HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
   auto document = ParseJson(request.body);
   if (!document) {
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -44,7 +44,8 @@
                {{"routing_version", feed_.routing_version()},
                 {"targets", searches_.view().All().size()},
                 {"leaving", draining_},
-                {"cut_off", reachability_.cut_off()}});
+                {"cut_off", reachability_.cut_off()},
+                {"contact", ToString(contact_.state())}});
   }
 }
 
@@ -110,6 +111,7 @@
   gauges.settings_version = feed_.routing_version();
   gauges.ready = ready();
   gauges.cut_off = reachability_.cut_off();
+  gauges.targets_lost = contact_.state() == ContactState::kLost;
   gauges.log_lines = log_.lines();
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
