Have other entry hosts run the requests of a host that has lost its targets

Cause: contact with control hosts counted as a proof that the host is connected, and an entry host of snipe-forward knew of no other one, so it could only go on trying. The class: a host that judges its own connectivity by the wrong peers, and has no second way to what its callers need.

Change: TargetContact decides; RequestRelay sends the whole request with the origin's plan to an entry host that RelaySelector chooses; control hosts name some of each zone. Requests in flight are relayed too, within max_attempts and the budget of extra attempts. Only a refusal or an unopened connection lets another host try; hosts without targets or in a stop take nothing, and none passes a relayed request on.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -37,6 +37,8 @@
     std::function<void(const PoisonEvidence&)> on_evidence;
     /// All evidence against requests that this host holds.
     std::function<std::vector<PoisonEvidence>()> evidence;
+    /// The entry hosts that may run requests for this one.
+    std::function<void(const std::vector<RelayHost>&)> on_relay_hosts;
   };
 
   /// `seeds` are peer addresses of control hosts that may be up.
@@ -48,6 +50,10 @@
               const std::vector<std::string>& seeds,
               Handlers handlers);
 
+  /// Has other entry hosts told that this one takes relayed requests at
+  /// `address`.
+  void OfferRelay(const std::string& address) { relay_address_ = address; }
+
   void Start();
   void AddSeeds(const std::vector<std::string>& seeds);
 
@@ -109,6 +115,8 @@
   std::uint64_t newest_seen_version_ = 0;
   Instant newest_seen_at_{};
   std::uint64_t control_digest_ = 0;
+  std::uint64_t relay_digest_ = 0;
+  std::string relay_address_;
   Instant started_{};
   Instant report_due_{};
   /// Not yet received by any control host.
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -24,8 +24,10 @@
   std::size_t quarantined = 0;
   std::uint64_t settings_version = 0;
   bool ready = false;
-  bool cut_off = false;  ///< No other zone can be reached.
+  bool cut_off = false;       ///< No other zone can be reached.
   bool targets_lost = false;  ///< No target can be reached.
+  std::uint64_t relayed = 0;  ///< Requests that other hosts were asked to run.
+  std::uint64_t relayed_here = 0;  ///< Requests run for other hosts.
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
   std::size_t control_hosts = 0;  ///< That answered recently.
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -33,6 +33,7 @@
   kHedgeSkipped,
   kTargetLimit,
   kTargetContact,
+  kRelayed,
   kEvidence,
   kCallerGone,
   kRequestRejected,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "snipeworks/control_feed.h"
 #include "snipeworks/entry_metrics.h"
@@ -19,6 +21,7 @@
 #include "snipeworks/protocol_names.h"
 #include "snipeworks/random.h"
 #include "snipeworks/reachability_monitor.h"
+#include "snipeworks/request_relay.h"
 #include "snipeworks/search_controller.h"
 #include "snipeworks/target_contact.h"
 
@@ -54,13 +57,38 @@
     ExchangeId exchange = 0;
     ResponseFormat format;
     Instant started{};
+    /// The entry host whose caller sent it; empty for this one.
+    std::string origin;
+    /// Set while another entry host is asked to run it.
+    std::optional<RelayId> relay;
+    std::int64_t attempts = 0;  ///< Of a part, before it was relayed.
   };
 
+  Result<void> StartListeners();
+  void OnRequest(ExchangeId exchange, HttpRequest request);
+  void OnCallerDisconnected(ExchangeId exchange);
+  void Run(RunningRequest running);
+
+  // Requests that other entry hosts run, and those run for others.
+  bool MayRelay(Instant now) const;
+  /// Has another host run a request of which `attempts` attempts of a part may
+  /// have run.
+  void Relay(RunningRequest running, std::int64_t attempts);
+  void OnRelayOutcome(RequestId id, const RelayOutcome& outcome);
+  /// Relays a request that cannot be answered here, if it may run again.
+  bool FailOver(RequestId id, std::int64_t attempts);
+  void FailOverAll(Instant now);
+  void FinishRelayed(RunningRequest running,
+                     const RelayOutcome& outcome,
+                     HttpResponse response);
+  void OnRelayedRequest(ExchangeId exchange, const HttpRequest& request);
+  void OnOriginDisconnected(ExchangeId exchange);
+
+  // Contact with targets.
   void UpdateContact(Instant now);
   void TestConnections(Instant now, std::size_t count);
   HttpResponse OnFaultInjection(const HttpRequest& request);
-  void OnRequest(ExchangeId exchange, HttpRequest request);
-  void OnCallerDisconnected(ExchangeId exchange);
+
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
               const Error& error);
@@ -71,6 +99,9 @@
   void LogFinish(const RunningRequest& running,
                  const FinishSearch& finish,
                  int status);
+  void LogRelayed(const RunningRequest& running,
+                  const RelayOutcome& outcome,
+                  int status);
   void OnOutcome(AttemptId attempt, const AttemptOutcome& outcome);
   bool IsInOtherZone(const std::string& target) const;
   /// True if the usable targets of this host's zone cover enough of `plan`.
@@ -98,14 +129,22 @@
   ReachabilityMonitor reachability_;
   TargetContact contact_;
   ContactState logged_contact_ = ContactState::kReached;
+  /// While contact is lost: the requests in flight have been relayed.
+  bool failed_over_ = false;
+  RequestRelay relay_;
   LoopTimer timer_;
   std::unique_ptr<HttpListener> front_;
   std::unique_ptr<HttpListener> ready_listener_;
   std::unique_ptr<HttpListener> metrics_listener_;
+  std::unique_ptr<HttpListener> relay_listener_;
   std::unordered_map<RequestId, RunningRequest> running_;
   std::unordered_map<ExchangeId, RequestId> requests_by_exchange_;
+  /// Of relay_listener_.
+  std::unordered_map<ExchangeId, RequestId> requests_by_relayed_exchange_;
   RequestId next_request_ = 1;
   std::uint64_t successes_ = 0;
+  std::uint64_t relayed_ = 0;
+  std::uint64_t relayed_here_ = 0;
   Instant started_{};
   Instant last_event_batch_at_{};
   Instant next_traffic_log_{};
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -8,6 +8,7 @@
 
 #include "snipeworks/control_messages.h"
 #include "snipeworks/entry_messages.h"
+#include "snipeworks/relay_messages.h"
 #include "snipeworks/target_condition.h"
 #include "snipeworks/wire.h"
 
@@ -42,6 +43,8 @@
   bool known_current = false;
   /// Of the newest evidence known; evidence is sent together with the routing.
   std::uint64_t evidence_serial = 0;
+  std::string relay_address;  ///< At which the sender takes relayed requests.
+  std::uint64_t relay_digest = 0;  ///< Of the known relay hosts.
 };
 
 template <SameStruct<WatchRequest> S>
@@ -49,7 +52,8 @@
   return std::tie(v.host, v.zone, v.epoch, v.serial, v.routing_version,
                   v.newest_seen_version, v.wants_routing,
                   v.accepts_stale_routing, v.control_digest, v.condition_serial,
-                  v.known_current, v.evidence_serial);
+                  v.known_current, v.evidence_serial, v.relay_address,
+                  v.relay_digest);
 }
 
 struct WatchReply {
@@ -70,6 +74,9 @@
   std::vector<TargetCondition> conditions;  ///< If wanted and newer.
   std::uint64_t evidence_serial = 0;
   std::vector<EvidenceMessage> evidence;  ///< If wanted and newer.
+  std::uint64_t relay_digest = 0;
+  /// Entry hosts that may run requests for the watcher, if they have changed.
+  std::vector<RelayHost> relay_hosts;
 };
 
 template <SameStruct<WatchReply> S>
@@ -78,7 +85,7 @@
                   v.routing_version, v.routing, v.routing_change, v.current,
                   v.entry_hosts, v.control_digest, v.control_hosts,
                   v.condition_serial, v.conditions, v.evidence_serial,
-                  v.evidence);
+                  v.evidence, v.relay_digest, v.relay_hosts);
 }
 
 /// A report that only renews the lease of a target.
@@ -99,7 +106,7 @@
   std::string host;
   std::vector<Announcement> changes;
   std::vector<Heartbeat> heartbeats;
-  std::vector<std::string> entry_hosts;
+  std::vector<RelayHost> entry_hosts;
   std::vector<ConditionSample> samples;  ///< At most one per target.
   std::vector<EvidenceMessage> evidence;
 };
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -45,6 +45,8 @@
   Result<SearchAnswer> result;
   /// With an error: the latest error answer of a target, if there is one.
   std::shared_ptr<const TargetAnswer> failure;
+  /// With an error: the most attempts of one part that may have run.
+  std::int64_t most_attempts = 0;
 };
 
 /// Send evidence to the other entry hosts. If `confirm` is set,
@@ -170,6 +172,15 @@
   void Submit(Instant now, const SearchRequest& request);
   /// Cancels the search of a caller that has disconnected; no answer follows.
   void OnCallerDisconnected(Instant now, RequestId request);
+  /// Ends a search with `error`.
+  void GiveUp(Instant now, RequestId request, Error error);
+  /// The most attempts of one part of a running search that may have run, or
+  /// nothing if the search has ended.
+  std::optional<std::int64_t> MostAttempts(RequestId request) const;
+  /// Charges one extra attempt for each part of `plan`, which another host is
+  /// to run once more. Charges nothing and returns false if the budget of any
+  /// is exhausted.
+  bool TakeExtraAttempts(Instant now, const SearchPlan& plan);
 
   void OnOutcome(Instant now, AttemptId attempt, const AttemptOutcome& outcome);
   void OnProbe(Instant now, AttemptId attempt, ProbeState state);
--- a/src/include/snipeworks/search_run.h
+++ b/src/include/snipeworks/search_run.h
@@ -90,6 +90,8 @@
   bool CoverageUnreachable() const;
   /// True unless every attempt provably was not run.
   bool MayHaveRun() const;
+  /// The most attempts of one part that may have run.
+  std::int64_t MostAttempts() const;
   /// True if any attempt was sent for this search.
   bool Started() const;
 
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -207,6 +207,8 @@
   request.condition_serial = source.condition_serial;
   request.evidence_serial = source.evidence_serial;
   request.known_current = source.current;
+  request.relay_address = relay_address_;
+  request.relay_digest = relay_digest_;
   peers_.Call(
       address, kControlWatchPath, Encode(request), kWatchTimeout,
       [this, address](const PeerResult& result) { OnReply(address, result); });
@@ -275,6 +277,10 @@
     control_digest_ = reply->control_digest;
     AddSeeds(reply->control_hosts);
   }
+  if (!reply->relay_hosts.empty()) {
+    relay_digest_ = reply->relay_digest;
+    handlers_.on_relay_hosts(reply->relay_hosts);
+  }
   if (reply->entry_hosts > 0 && reply->entry_hosts != fleet_size_) {
     fleet_size_ = reply->entry_hosts;
     handlers_.on_fleet_size(fleet_size_);
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -222,7 +222,7 @@
       OnTargetChange(renewed, "control");
     }
   }
-  for (const std::string& host : message->entry_hosts) {
+  for (const RelayHost& host : message->entry_hosts) {
     entry_host_registry_.RecordRelayedContact(now, host);
   }
   conditions_.Add(now, message->samples);
@@ -386,6 +386,12 @@
   if (reply.control_digest != request.control_digest) {
     reply.control_hosts = view.control_hosts;
   }
+  std::vector<RelayHost> relays = entry_host_registry_.RelaysFor(request.host);
+  const std::string relay_text = Encode(relays);
+  reply.relay_digest = XXH3_64bits(relay_text.data(), relay_text.size());
+  if (reply.relay_digest != request.relay_digest) {
+    reply.relay_hosts = std::move(relays);
+  }
   return reply;
 }
 
@@ -397,7 +403,8 @@
     return;
   }
   const Instant now = MonotonicNow();
-  entry_host_registry_.RecordContact(now, request->host);
+  entry_host_registry_.RecordContact(
+      now, {request->host, request->zone, request->relay_address});
   const ControlView view = view_();
   if (HasUpdates(now, *request, view)) {
     reply(Encode(MakeReply(*request, view)));
--- a/src/libsnipeworks/entry_host_registry_test.cpp
+++ b/src/libsnipeworks/entry_host_registry_test.cpp
@@ -1,5 +1,8 @@
 #include "snipeworks/entry_host_registry.h"
 
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace snipeworks {
@@ -10,6 +13,10 @@
 
 constexpr Instant kStart{seconds(1000)};
 
+RelayHost Host(const std::string& name, const std::string& zone = "zone-a") {
+  return {name, zone, name + ":7000"};
+}
+
 TEST(EntryHostRegistries, ReportEachHostAtALowRate) {
   EntryHostRegistry registry;
   std::size_t sent = 0;
@@ -17,7 +24,7 @@
   // Two hundred hosts that call once a second, for a minute.
   for (int tick = 0; tick < 120; ++tick, now += milliseconds(500)) {
     for (int host = 0; tick % 2 == 0 && host < 200; ++host) {
-      registry.RecordContact(now, "entry-" + std::to_string(host));
+      registry.RecordContact(now, Host("entry-" + std::to_string(host)));
     }
     sent += registry.TakeUpdates(now, "control-2").size();
   }
@@ -28,7 +35,7 @@
 
 TEST(EntryHostRegistries, ReportANewHostAtOnceAndAgainAfterAFailedDelivery) {
   EntryHostRegistry registry;
-  registry.RecordContact(kStart, "entry-1");
+  registry.RecordContact(kStart, Host("entry-1"));
   EXPECT_EQ(registry.TakeUpdates(kStart, "control-2").size(), 1U);
   EXPECT_TRUE(registry.TakeUpdates(kStart, "control-2").empty());
   EXPECT_EQ(registry.TakeUpdates(kStart, "control-3").size(), 1U);
@@ -41,14 +48,14 @@
 TEST(EntryHostRegistries, ForgetAHostThatNoControlHostHearsFrom) {
   EntryHostRegistry first;
   EntryHostRegistry second;
-  first.RecordContact(kStart, "entry-1");
+  first.RecordContact(kStart, Host("entry-1"));
   Instant now = kStart;
   for (; now < kStart + seconds(70); now += milliseconds(500)) {
-    for (const std::string& host : first.TakeUpdates(now, "second")) {
+    for (const RelayHost& host : first.TakeUpdates(now, "second")) {
       second.RecordRelayedContact(now, host);
       EXPECT_TRUE(second.TakeUpdates(now, "third").empty());
     }
-    for (const std::string& host : second.TakeUpdates(now, "first")) {
+    for (const RelayHost& host : second.TakeUpdates(now, "first")) {
       first.RecordRelayedContact(now, host);
     }
     first.Prune(now);
@@ -61,5 +68,33 @@
   EXPECT_EQ(second.size(), 0U);
 }
 
+TEST(EntryHostRegistries, NameSomeRelaysOfEachZoneAndSpreadTheirWork) {
+  EntryHostRegistry registry;
+  for (int i = 0; i < 60; ++i) {
+    for (const char* zone : {"zone-a", "zone-b", "zone-c"}) {
+      registry.RecordContact(
+          kStart, Host(zone + std::string("-") + std::to_string(i), zone));
+    }
+  }
+  std::map<std::string, int> origins_by_relay;
+  for (int i = 0; i < 60; ++i) {
+    const std::string origin = "zone-a-" + std::to_string(i);
+    const std::vector<RelayHost> relays = registry.RelaysFor(origin);
+    EXPECT_EQ(relays.size(), 12U);
+    for (const RelayHost& relay : relays) {
+      EXPECT_NE(relay.host, origin);
+      ++origins_by_relay[relay.host];
+    }
+  }
+  // No host serves as a relay of a large part of a zone.
+  for (const auto& [relay, origins] : origins_by_relay) {
+    EXPECT_LE(origins, 30) << relay;
+  }
+  // A host that has moved or gone is named no more.
+  registry.RecordContact(kStart + seconds(61), Host("zone-a-0"));
+  registry.Prune(kStart + seconds(61));
+  EXPECT_TRUE(registry.RelaysFor("zone-a-0").empty());
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -115,6 +115,12 @@
   Gauge& targets_lost = AddGauge(registry,
                                  "snipeworks_targets_lost",
                                  "1 if this host reaches no target");
+  Gauge& relayed = AddGauge(registry,
+                            "snipeworks_requests_relayed",
+                            "Requests that other hosts were asked to run");
+  Gauge& relayed_here = AddGauge(registry,
+                                 "snipeworks_requests_relayed_here",
+                                 "Requests run for other entry hosts");
   Gauge& log_lines =
       AddGauge(registry, "snipeworks_log_lines", "Event lines written");
   Gauge& log_lines_dropped = AddGauge(registry,
@@ -215,6 +221,8 @@
   impl_->ready.Set(gauges.ready ? 1.0 : 0.0);
   impl_->cut_off.Set(gauges.cut_off ? 1.0 : 0.0);
   impl_->targets_lost.Set(gauges.targets_lost ? 1.0 : 0.0);
+  impl_->relayed.Set(static_cast<double>(gauges.relayed));
+  impl_->relayed_here.Set(static_cast<double>(gauges.relayed_here));
   impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -59,6 +59,8 @@
     EventRow{EventKind::kTargetContact, "target_contact", true,
              "the host reaches its targets, suspects that it does not, or has "
              "lost all of them"},
+    EventRow{EventKind::kRelayed, "relayed", false,
+             "another entry host was asked to run a request"},
     EventRow{EventKind::kEvidence, "evidence", false,
              "targets have ended under a request, or it was cleared of that"},
     EventRow{EventKind::kCallerGone, "caller_gone", false,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -8,10 +8,9 @@
 #include <utility>
 
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 
 #include "snipeworks/caller_api.h"
-#include "snipeworks/json_reader.h"
+#include "snipeworks/relay_messages.h"
 #include "snipeworks/shutdown_admission.h"
 #include "snipeworks/target_directory.h"
 #include "snipeworks/target_events.h"
@@ -37,6 +36,10 @@
 // Retry-After of a request that comes too late in a stop: callers' new
 // connections already go to other hosts.
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
+// No other host that is known serves either: time for one to regain targets.
+constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
+// Of a relayed request, besides the caller's headers and body.
+constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
 constexpr char kFaultsPath[] = "/v1/faults";
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
@@ -87,6 +90,19 @@
   return result;
 }
 
+// False if the request itself is at fault.
+bool MaySucceedElsewhere(ErrorKind kind) {
+  return kind == ErrorKind::kOverloaded || kind == ErrorKind::kNoTarget ||
+         kind == ErrorKind::kUnknownGroup || kind == ErrorKind::kTargetsFailed;
+}
+
+ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
+  ListenerLimits limits;
+  limits.max_body_bytes =
+      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
+  return limits;
+}
+
 }  // namespace
 
 ForwardHost::ForwardHost(EventLoop& loop,
@@ -129,41 +145,55 @@
                LogEvidence(log_, evidence, "control");
                searches_.OnEvidence(MonotonicNow(), evidence);
              },
-             [this] { return searches_.Evidence(MonotonicNow()); }}),
+             [this] { return searches_.Evidence(MonotonicNow()); },
+             [this](const std::vector<RelayHost>& hosts) {
+               relay_.selector().SetHosts(hosts);
+             }}),
+      relay_(loop, RelaySelector(settings_.zone(), random_.Next())),
       timer_(loop, [this] {
         searches_.Tick(MonotonicNow());
         SetNextTimer();
       }) {}
 
-Result<void> ForwardHost::Start() {
-  auto front = HttpListener::Start(
-      loop_, settings_.http(), {},
-      {[this](ExchangeId exchange, HttpRequest request) {
-         OnRequest(exchange, std::move(request));
-       },
-       [this](ExchangeId exchange) { OnCallerDisconnected(exchange); }});
-  if (!front) {
-    return tl::unexpected(front.error());
-  }
-  front_ = std::move(*front);
-  if (settings_.ready().port != 0) {
-    auto listener = HttpListener::Start(
-        loop_, settings_.ready(), {},
+Result<void> ForwardHost::StartListeners() {
+  const auto start = [this](std::unique_ptr<HttpListener>& listener,
+                            const Address& address,
+                            HttpListener::Handlers handlers) -> Result<void> {
+    auto started = HttpListener::Start(loop_, address, {}, std::move(handlers));
+    if (!started) {
+      return tl::unexpected(started.error());
+    }
+    listener = std::move(*started);
+    return {};
+  };
+  auto started =
+      start(front_, settings_.http(),
+            {[this](ExchangeId exchange, HttpRequest request) {
+               OnRequest(exchange, std::move(request));
+             },
+             [this](ExchangeId exchange) { OnCallerDisconnected(exchange); }});
+  if (started) {
+    started = start(
+        relay_listener_, settings_.peer(),
         {[this](ExchangeId exchange, const HttpRequest& request) {
-           const bool good = request.path == names_.ready_path && ready();
-           ready_listener_->SendResponse(exchange,
-                                         {good ? 200 : 503, "text/plain",
-                                          good ? "ready\n" : "not ready\n"});
+           OnRelayedRequest(exchange, request);
          },
-         [](ExchangeId) {}});
-    if (!listener) {
-      return tl::unexpected(listener.error());
-    }
-    ready_listener_ = std::move(*listener);
-  }
-  if (settings_.metrics().port != 0) {
-    auto listener = HttpListener::Start(
-        loop_, settings_.metrics(), {},
+         [this](ExchangeId exchange) { OnOriginDisconnected(exchange); }});
+  }
+  if (started && settings_.ready().port != 0) {
+    started = start(ready_listener_, settings_.ready(),
+                    {[this](ExchangeId exchange, const HttpRequest& request) {
+                       const bool good =
+                           request.path == names_.ready_path && ready();
+                       ready_listener_->SendResponse(
+                           exchange, {good ? 200 : 503, "text/plain",
+                                      good ? "ready\n" : "not ready\n"});
+                     },
+                     [](ExchangeId) {}});
+  }
+  if (started && settings_.metrics().port != 0) {
+    started = start(
+        metrics_listener_, settings_.metrics(),
         {[this](ExchangeId exchange, const HttpRequest& request) {
            const bool fault =
                settings_.allow_faults() && request.path == kFaultsPath;
@@ -173,11 +203,15 @@
                                               MetricsPage()});
          },
          [](ExchangeId) {}});
-    if (!listener) {
-      return tl::unexpected(listener.error());
-    }
-    metrics_listener_ = std::move(*listener);
   }
+  return started;
+}
+
+Result<void> ForwardHost::Start() {
+  if (Result<void> started = StartListeners(); !started) {
+    return started;
+  }
+  feed_.OfferRelay(settings_.peer().ToString());
   started_ = MonotonicNow();
   last_event_batch_at_ = started_;
   loop_.AfterEventBatch([this] { AfterEventBatch(); });
@@ -199,7 +233,9 @@
 
 bool ForwardHost::ready() const {
   return !draining_ && planner_.table() != nullptr && feed_.synced() &&
-         !reachability_.cut_off();
+         !reachability_.cut_off() &&
+         (contact_.state() != ContactState::kLost ||
+          relay_.selector().HasCandidate(MonotonicNow()));
 }
 
 void ForwardHost::ShutDown(const std::function<void()>& done) {
@@ -209,6 +245,7 @@
   log_.Write(EventKind::kStopping, {{"running", running_.size()},
                                     {"connections", front_->connections()}});
   front_->CloseAfterResponses();
+  relay_listener_->CloseAfterResponses();
   const Duration hold = milliseconds(settings_.shutdown_hold_ms());
   loop_.After(hold, [this, done] {
     front_->StopAccepting();
@@ -217,23 +254,25 @@
   const Duration limit = settings_.shutdown_limit() - kFinalAnswerMargin;
   final_answers_at_ = MonotonicNow() + std::max(hold, limit);
   loop_.After(std::max(hold, limit), [this, done] {
-    std::vector<ExchangeId> open_exchanges;
-    for (const auto& [exchange, id] : requests_by_exchange_) {
-      open_exchanges.push_back(exchange);
+    const HttpResponse response =
+        ToHttpResponse({ErrorKind::kDeadline, "this host is shutting down", {}},
+                       RetryAfterFormat::kFractionalSeconds);
+    const auto open_exchanges = requests_by_exchange_;
+    for (const auto& [exchange, id] : open_exchanges) {
+      front_->SendResponse(exchange, response);
     }
-    for (ExchangeId exchange : open_exchanges) {
-      front_->SendResponse(
-          exchange,
-          ToHttpResponse(
-              {ErrorKind::kDeadline, "this host is shutting down", {}},
-              RetryAfterFormat::kFractionalSeconds));
+    const auto open_relayed = requests_by_relayed_exchange_;
+    for (const auto& [exchange, id] : open_relayed) {
+      relay_listener_->SendResponse(exchange,
+                                    Encapsulate(RelayReply::From(response)));
     }
     loop_.After(kFlushDelay, done);
   });
 }
 
 void ForwardHost::FinishIfIdle(const std::function<void()>& done) {
-  if (front_->unfinished_connections() == 0) {
+  if (front_->unfinished_connections() == 0 &&
+      requests_by_relayed_exchange_.empty()) {
     final_answers_at_ = std::min(final_answers_at_, MonotonicNow());
     loop_.After(front_->connections() > 0 ? kFlushDelay : Duration{}, done);
   }
@@ -278,6 +317,12 @@
                                   milliseconds(settings_.shutdown_hold_ms()))});
     return;
   }
+  if (contact_.state() == ContactState::kLost && !MayRelay(now)) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "this host reaches no target",
+            kTargetsLostRetryAfter});
+    return;
+  }
   const Duration timeout = milliseconds(route->timeout_ms);
   RunningRequest running;
   running.request.id = next_request_++;
@@ -294,9 +339,19 @@
   running.format.is_head_method = request.method == "HEAD";
   running.started = now;
   running.request.forwarded = ToForwardedRequest(request, names_);
-  const RequestId id = running.request.id;
-  requests_by_exchange_[exchange] = id;
-  const SearchRequest submitted = running.request;
+  requests_by_exchange_[exchange] = running.request.id;
+  if (MayRelay(now)) {
+    Relay(std::move(running), 0);
+  } else {
+    Run(std::move(running));
+  }
+}
+
+void ForwardHost::Run(RunningRequest running) {
+  const Instant now = MonotonicNow();
+  SearchRequest submitted = running.request;
+  submitted.budget = *submitted.budget - (now - running.started);
+  const RequestId id = submitted.id;
   running_[id] = std::move(running);
   searches_.Submit(now, submitted);
 }
@@ -307,7 +362,8 @@
   HttpResponse response =
       ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
   // Makes the load balancer route the caller's next connection to another host.
-  response.close = response.close || reachability_.cut_off();
+  response.close = response.close || reachability_.cut_off() ||
+                   contact_.state() == ContactState::kLost;
   log_.Write(EventKind::kRequestRejected,
              {{"request", request.Header(names_.request_id)},
               {"reason", RowOf(error.kind).name},
@@ -327,6 +383,9 @@
   auto running = running_.extract(node.mapped());
   if (!running.empty()) {
     const RunningRequest& disconnected = running.mapped();
+    if (disconnected.relay) {
+      relay_.Cancel(*disconnected.relay);
+    }
     log_.Write(EventKind::kCallerGone,
                {{"request", disconnected.request.forwarded->request_id},
                 {"route", disconnected.request.group},
@@ -390,7 +449,9 @@
       searches_.SetConnectionLimit(group.name, group.max_connections);
     }
   }
-  front_->SetLimits(ToListenerLimits(routing.limits));
+  const ListenerLimits limits = ToListenerLimits(routing.limits);
+  front_->SetLimits(limits);
+  relay_listener_->SetLimits(RelayListenerLimits(limits));
   planner_.SetRouting(routing);
 }
 
@@ -510,13 +571,13 @@
 }
 
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
-  metrics_.OnOutcome(outcome.status);
+  const Instant now = MonotonicNow();
   const auto [request, target, fingerprint] = searches_.FindAttempt(attempt);
-  contact_.OnEnded(MonotonicNow(), attempt, HasResponded(outcome),
-                   outcome.new_connection);
+  contact_.OnEnded(now, attempt, HasResponded(outcome), outcome.new_connection);
   if (outcome.connect_failed || outcome.status == AttemptStatus::kLost) {
-    contact_.OnConnectionFailed(MonotonicNow(), target);
+    contact_.OnConnectionFailed(now, target);
   }
+  metrics_.OnOutcome(outcome.status);
   if (HasResponded(outcome) && IsInOtherZone(target)) {
     reachability_.OnResponse();
   }
@@ -536,16 +597,19 @@
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"retry_after_ms", outcome.retry_after}});
   }
-  searches_.OnOutcome(MonotonicNow(), attempt, outcome);
+  searches_.OnOutcome(now, attempt, outcome);
 }
 
 void ForwardHost::Finish(const FinishSearch& finish) {
+  if (!finish.result && MaySucceedElsewhere(finish.result.error().kind) &&
+      FailOver(finish.id, finish.most_attempts)) {
+    return;
+  }
   auto node = running_.extract(finish.id);
   if (node.empty()) {
     return;
   }
   const RunningRequest& running = node.mapped();
-  requests_by_exchange_.erase(running.exchange);
   metrics_.OnSearch(running.request, finish.result,
                     MonotonicNow() - running.started);
   const HttpResponse response =
@@ -553,56 +617,14 @@
           ? ToResponse(*finish.result, running.request, running.format, names_)
           : ToFailureResponse(finish, running.request, running.format, names_);
   LogFinish(running, finish, response.status);
-  front_->SendResponse(running.exchange, response);
-}
-
-void ForwardHost::UpdateContact(Instant now) {
-  TestConnections(now, contact_.Update(now, searches_.view().size()));
-  const ContactState state = contact_.state();
-  if (std::exchange(logged_contact_, state) != state) {
-    log_.Write(EventKind::kTargetContact,
-               {{"state", ToString(state)},
-                {"silent_ms", now - contact_.last_contact()},
-                {"running", running_.size()}});
-  }
-}
-
-void ForwardHost::TestConnections(Instant now, std::size_t count) {
-  if (count == 0) {
-    return;
-  }
-  std::vector<const Announcement*> targets = searches_.view().All();
-  std::erase_if(targets, [&](const Announcement* target) {
-    return searches_.view().Usable(now, target->target) == nullptr;
-  });
-  for (std::size_t i = 0; i < count; ++i) {
-    if (targets.empty()) {
-      contact_.OnTest(now, false);
-      continue;
-    }
-    const std::size_t chosen = random_.Below(targets.size());
-    const std::string address = targets[chosen]->address;
-    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
-    gateway_.TestConnection(address, [this](bool reached) {
-      contact_.OnTest(MonotonicNow(), reached);
-    });
-  }
-}
-
-HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
-  auto document = ParseJson(request.body);
-  if (!document) {
-    return ToHttpResponse(document.error());
-  }
-  JsonReader reader(*document);
-  const std::string cut = reader.String("targets");
-  const std::optional<CutKind> kind = ParseCutKind(cut);
-  if (!reader.ok() || (!kind && cut != "none")) {
-    return {400, "text/plain",
-            "targets: must be silent, reset, refuse-new or none\n"};
+  if (running.origin.empty()) {
+    requests_by_exchange_.erase(running.exchange);
+    front_->SendResponse(running.exchange, response);
+  } else {
+    requests_by_relayed_exchange_.erase(running.exchange);
+    relay_listener_->SendResponse(running.exchange,
+                                  Encapsulate(RelayReply::From(response)));
   }
-  gateway_.SimulateCut(kind);
-  return {200, "text/plain", "ok\n"};
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -92,9 +92,34 @@
        {"hedges", attempts.hedge},
        {"retries", attempts.retry},
        {"replacements", attempts.replacement},
+       {"origin", running.origin},
        {"sampled_one_in", routine ? kSuccessSample : 1}});
 }
 
+void ForwardHost::LogRelayed(const RunningRequest& running,
+                             const RelayOutcome& outcome,
+                             int status) {
+  const bool routine = outcome.status == RelayStatus::kAnswered &&
+                       status < 300 && running.attempts == 0;
+  if (routine && ++successes_ % kSuccessSample != 0) {
+    return;
+  }
+  const char* end = outcome.status == RelayStatus::kAnswered ? "answered"
+                    : outcome.status == RelayStatus::kNotRun ? "not-run"
+                                                             : "unknown";
+  log_.Write(EventKind::kRelayed,
+             {{"request", running.request.forwarded->request_id},
+              {"route", running.request.group},
+              {"relay", outcome.address},
+              {"tries", outcome.tries},
+              {"attempts_before", running.attempts},
+              {"outcome", end},
+              {"status", status},
+              {"took_ms", MonotonicNow() - running.started},
+              {"deadline_ms", *running.request.budget},
+              {"sampled_one_in", routine ? kSuccessSample : 1}});
+}
+
 std::string ForwardHost::MetricsPage() {
   EntryGauges gauges;
   gauges.running = searches_.running();
@@ -112,6 +137,8 @@
   gauges.ready = ready();
   gauges.cut_off = reachability_.cut_off();
   gauges.targets_lost = contact_.state() == ContactState::kLost;
+  gauges.relayed = relayed_;
+  gauges.relayed_here = relayed_here_;
   gauges.log_lines = log_.lines();
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
--- /dev/null
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -0,0 +1,310 @@
+// Contact of a forwarding host with its targets, and requests that one entry
+// host runs for another.
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "snipeworks/caller_api.h"
+#include "snipeworks/forward_host.h"
+#include "snipeworks/json_reader.h"
+#include "snipeworks/relay_messages.h"
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The crossing to another host and back.
+constexpr Duration kRelayMargin = milliseconds(5);
+// A request with less time left is not relayed.
+constexpr Duration kMinRelayTime = milliseconds(20);
+// Requests in flight are given up once no target has responded for this long.
+constexpr Duration kFailOverSilence = milliseconds(150);
+
+// The times of a policy, less the time that has passed.
+GroupPolicy Shortened(GroupPolicy policy, Duration passed) {
+  const std::int64_t passed_ms = (passed + kRelayMargin) / milliseconds(1);
+  policy.soft_deadline_ms =
+      std::max<std::int64_t>(1, policy.soft_deadline_ms - passed_ms);
+  if (policy.objective_ms > 0) {
+    policy.objective_ms =
+        std::max<std::int64_t>(1, policy.objective_ms - passed_ms);
+  }
+  return policy;
+}
+
+RelayedForward ToMessage(const SearchRequest& request,
+                         const ResponseFormat& format,
+                         std::int64_t attempts,
+                         Duration passed) {
+  RelayedForward message;
+  message.plan_name = request.plan->name;
+  message.plan_version = request.plan->version;
+  message.groups = request.plan->groups;
+  message.policy = Shortened(request.plan->policy, passed);
+  if (message.policy.max_attempts > 0) {
+    message.policy.max_attempts -= attempts;
+  }
+  message.request_class = static_cast<std::int64_t>(request.request_class);
+  message.repeatable = request.repeatable;
+  message.budget_us = (*request.budget - passed - kRelayMargin).count();
+  message.top_records = format.top_records;
+  message.pass_through = format.pass_through;
+  message.request_id = request.forwarded->request_id;
+  message.fingerprint = request.forwarded->fingerprint;
+  message.head = request.forwarded->message->head;
+  message.body = request.forwarded->message->body;
+  message.is_head_method = format.is_head_method;
+  return message;
+}
+
+SearchRequest ToRequest(RelayedForward& message) {
+  SearchRequest request;
+  request.request_class = ClassOfRank(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, message.request_class)));
+  request.repeatable = message.repeatable;
+  request.budget = Duration(message.budget_us);
+  auto plan = std::make_shared<SearchPlan>();
+  plan->name = std::move(message.plan_name);
+  plan->version = message.plan_version;
+  plan->groups = std::move(message.groups);
+  plan->policy = message.policy;
+  request.plan = std::move(plan);
+  request.group = request.plan->name;
+  auto shared = std::make_shared<SharedRequest>();
+  shared->head = std::move(message.head);
+  shared->body = std::move(message.body);
+  shared->is_head_method = message.is_head_method;
+  auto forwarded = std::make_shared<ForwardedRequest>();
+  forwarded->request_id = std::move(message.request_id);
+  forwarded->fingerprint = message.fingerprint;
+  forwarded->message = std::move(shared);
+  request.forwarded = std::move(forwarded);
+  return request;
+}
+
+// The answer to a request whose relay has not returned one.
+Error RelayError(const RelayOutcome& outcome, bool repeatable, bool late) {
+  if (outcome.status == RelayStatus::kNotRun) {
+    return {ErrorKind::kNotReady,
+            "this host reaches no target, and no other entry host took the "
+            "request",
+            milliseconds(250)};
+  }
+  const ErrorKind kind = !repeatable ? ErrorKind::kOutcomeUnknown
+                         : late      ? ErrorKind::kDeadline
+                                     : ErrorKind::kTargetsFailed;
+  return {kind, "the entry host that ran the request did not answer", {}};
+}
+
+}  // namespace
+
+bool ForwardHost::MayRelay(Instant now) const {
+  return contact_.state() != ContactState::kReached &&
+         relay_.selector().HasCandidate(now);
+}
+
+void ForwardHost::Relay(RunningRequest running, std::int64_t attempts) {
+  const Instant now = MonotonicNow();
+  const Duration passed = now - running.started;
+  const RequestId id = running.request.id;
+  running.attempts = attempts;
+  RelayedForward message =
+      ToMessage(running.request, running.format, attempts, passed);
+  message.origin = settings_.host();
+  ++relayed_;
+  running.relay = relay_.Send(
+      Encode(message), *running.request.budget - passed,
+      !running.request.repeatable,
+      [this, id](const RelayOutcome& outcome) { OnRelayOutcome(id, outcome); });
+  running_[id] = std::move(running);
+}
+
+// Before the contact is known to be lost, it suffices that no connection for
+// the request could be opened.
+bool ForwardHost::FailOver(RequestId id, std::int64_t attempts) {
+  const Instant now = MonotonicNow();
+  auto found = running_.find(id);
+  const bool unconnected = attempts == 0 && contact_.ConnectionsFail(now) &&
+                           relay_.selector().HasCandidate(now);
+  if (found == running_.end() || !(MayRelay(now) || unconnected)) {
+    return false;
+  }
+  const SearchRequest& request = found->second.request;
+  const GroupPolicy& policy = request.plan->policy;
+  const bool enough_time =
+      now + kMinRelayTime < found->second.started + *request.budget;
+  const bool may_run_again =
+      attempts == 0 || (request.repeatable && (policy.max_attempts == 0 ||
+                                               attempts < policy.max_attempts));
+  if (!found->second.origin.empty() || found->second.relay || !enough_time ||
+      !may_run_again ||
+      (attempts > 0 && !searches_.TakeExtraAttempts(now, *request.plan))) {
+    return false;
+  }
+  searches_.OnCallerDisconnected(now, id);
+  Relay(std::move(running_.extract(id).mapped()), attempts);
+  return true;
+}
+
+// A request that must not run once more waits for its answer, which may still
+// come after the cut. Any other is given back to its caller, who may retry.
+void ForwardHost::FailOverAll(Instant now) {
+  std::vector<RequestId> ids;
+  for (const auto& [id, running] : running_) {
+    ids.push_back(id);
+  }
+  for (RequestId id : ids) {
+    const auto attempts = searches_.MostAttempts(id);
+    if (attempts && !FailOver(id, *attempts) &&
+        running_.at(id).request.repeatable) {
+      searches_.GiveUp(now, id,
+                       {ErrorKind::kTargetsFailed,
+                        "this host has lost its targets", std::nullopt});
+    }
+  }
+}
+
+void ForwardHost::OnRelayOutcome(RequestId id, const RelayOutcome& outcome) {
+  auto node = running_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  RunningRequest running = std::move(node.mapped());
+  running.relay.reset();
+  if (outcome.status == RelayStatus::kAnswered) {
+    FinishRelayed(std::move(running), outcome, outcome.reply.ToResponse());
+    return;
+  }
+  const Instant deadline = running.started + *running.request.budget;
+  const bool late = now + kMinRelayTime >= deadline;
+  if (outcome.status == RelayStatus::kNotRun && running.attempts == 0 &&
+      !late && contact_.state() != ContactState::kLost) {
+    Run(std::move(running));
+    return;
+  }
+  if (outcome.status == RelayStatus::kUnknown && !late) {
+    const std::int64_t attempts = running.attempts + 1;
+    running_[id] = std::move(running);
+    if (FailOver(id, attempts)) {
+      return;
+    }
+    running = std::move(running_.extract(id).mapped());
+  }
+  HttpResponse response =
+      ToHttpResponse(RelayError(outcome, running.request.repeatable, late),
+                     RetryAfterFormat::kFractionalSeconds);
+  response.headers.push_back(
+      {names_.request_id, running.request.forwarded->request_id});
+  response.close = outcome.status == RelayStatus::kNotRun;
+  FinishRelayed(std::move(running), outcome, std::move(response));
+}
+
+void ForwardHost::FinishRelayed(RunningRequest running,
+                                const RelayOutcome& outcome,
+                                HttpResponse response) {
+  LogRelayed(running, outcome, response.status);
+  requests_by_exchange_.erase(running.exchange);
+  front_->SendResponse(running.exchange, response);
+}
+
+// Hosts that stop or have lost their targets take no requests of others, so
+// that none travels in circles.
+void ForwardHost::OnRelayedRequest(ExchangeId exchange,
+                                   const HttpRequest& request) {
+  const Instant now = MonotonicNow();
+  auto message = request.path == kRelayPath
+                     ? Decode<RelayedForward>(request.body)
+                     : std::optional<RelayedForward>();
+  const bool accepted = message && !draining_ && feed_.synced() &&
+                        contact_.state() == ContactState::kReached &&
+                        !reachability_.cut_off() && !message->groups.empty() &&
+                        message->budget_us > 0;
+  if (!accepted) {
+    relay_listener_->SendResponse(exchange, Encapsulate({}));
+    return;
+  }
+  ++relayed_here_;
+  RunningRequest running;
+  running.origin = message->origin.empty() ? "unknown" : message->origin;
+  running.format.top_records = message->top_records;
+  running.format.pass_through = message->pass_through;
+  running.format.is_head_method = message->is_head_method;
+  running.request = ToRequest(*message);
+  running.request.id = next_request_++;
+  running.exchange = exchange;
+  running.started = now;
+  requests_by_relayed_exchange_[exchange] = running.request.id;
+  Run(std::move(running));
+}
+
+void ForwardHost::OnOriginDisconnected(ExchangeId exchange) {
+  auto node = requests_by_relayed_exchange_.extract(exchange);
+  if (!node.empty()) {
+    running_.erase(node.mapped());
+    searches_.OnCallerDisconnected(MonotonicNow(), node.mapped());
+  }
+}
+
+void ForwardHost::UpdateContact(Instant now) {
+  TestConnections(now, contact_.Update(now, searches_.view().size()));
+  const ContactState state = contact_.state();
+  const Duration silence = now - contact_.last_contact();
+  if (std::exchange(logged_contact_, state) != state) {
+    failed_over_ = false;
+    log_.Write(EventKind::kTargetContact,
+               {{"state", ToString(state)},
+                {"silent_ms", silence},
+                {"running", running_.size()},
+                {"relay_hosts", relay_.selector().hosts()}});
+  }
+  // Connections that live on still bring answers.
+  if (state == ContactState::kLost && silence >= kFailOverSilence &&
+      !std::exchange(failed_over_, true)) {
+    FailOverAll(now);
+  }
+}
+
+void ForwardHost::TestConnections(Instant now, std::size_t count) {
+  if (count == 0) {
+    return;
+  }
+  std::vector<const Announcement*> targets = searches_.view().All();
+  std::erase_if(targets, [&](const Announcement* target) {
+    return searches_.view().Usable(now, target->target) == nullptr;
+  });
+  for (std::size_t i = 0; i < count; ++i) {
+    if (targets.empty()) {
+      contact_.OnTest(now, false);
+      continue;
+    }
+    const std::size_t chosen = random_.Below(targets.size());
+    const std::string address = targets[chosen]->address;
+    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
+    gateway_.TestConnection(address, [this](bool reached) {
+      contact_.OnTest(MonotonicNow(), reached);
+    });
+  }
+}
+
+HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
+  auto document = ParseJson(request.body);
+  if (!document) {
+    return ToHttpResponse(document.error());
+  }
+  JsonReader reader(*document);
+  const std::string cut = reader.String("targets");
+  const std::optional<CutKind> kind = ParseCutKind(cut);
+  if (!reader.ok() || (!kind && cut != "none")) {
+    return {400, "text/plain",
+            "targets: must be silent, reset, refuse-new or none\n"};
+  }
+  gateway_.SimulateCut(kind);
+  return {200, "text/plain", "ok\n"};
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -38,6 +38,19 @@
   impl_->OnCallerDisconnected(now, request);
 }
 
+void SearchController::GiveUp(Instant now, RequestId request, Error error) {
+  impl_->GiveUp(now, request, std::move(error));
+}
+
+std::optional<std::int64_t> SearchController::MostAttempts(
+    RequestId request) const {
+  return impl_->MostAttempts(request);
+}
+
+bool SearchController::TakeExtraAttempts(Instant now, const SearchPlan& plan) {
+  return impl_->TakeExtraAttempts(now, plan);
+}
+
 void SearchController::OnOutcome(Instant now,
                                  AttemptId attempt,
                                  const AttemptOutcome& outcome) {
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -127,7 +127,7 @@
   Result<void> admitted = filters_.Apply(context);
   if (!admitted) {
     actions_.emplace_back(
-        FinishSearch{request.id, tl::unexpected(admitted.error())});
+        FinishSearch{request.id, tl::unexpected(admitted.error()), nullptr, 0});
     return;
   }
   const RequestId id = request.id;
@@ -156,6 +156,25 @@
   }
 }
 
+std::optional<std::int64_t> SearchEngine::MostAttempts(
+    RequestId request) const {
+  auto found = searches_.find(request);
+  return found == searches_.end() ? std::nullopt
+                                  : std::optional(found->second.MostAttempts());
+}
+
+bool SearchEngine::TakeExtraAttempts(Instant now, const SearchPlan& plan) {
+  for (std::size_t i = 0; i < plan.groups.size(); ++i) {
+    if (!TakeExtraBudget(now, plan.policy, plan.groups[i], 0.0)) {
+      for (std::size_t taken = 0; taken < i; ++taken) {
+        extra_attempt_budgets_[plan.groups[taken]].Refund(now);
+      }
+      return false;
+    }
+  }
+  return true;
+}
+
 GroupState& SearchEngine::EnsureGroup(const std::string& name) {
   auto [it, inserted] = groups_.try_emplace(name, name);
   if (inserted) {
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -96,6 +96,11 @@
                           Duration age);
   void Submit(Instant now, const SearchRequest& request);
   void OnCallerDisconnected(Instant now, RequestId request);
+  void GiveUp(Instant now, RequestId request, Error error) {
+    FinishWith(now, request, std::move(error));
+  }
+  std::optional<std::int64_t> MostAttempts(RequestId request) const;
+  bool TakeExtraAttempts(Instant now, const SearchPlan& plan);
   void OnOutcome(Instant now, AttemptId id, const AttemptOutcome& outcome);
   void OnProbe(Instant now, AttemptId id, ProbeState state);
   bool OnEvidence(Instant now, const PoisonEvidence& evidence);
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -386,7 +386,7 @@
   }
   const SearchRun& search = *found;
   if (search.AnsweredParts() >= search.NeededParts()) {
-    actions_.emplace_back(FinishSearch{id, search.Answer(), nullptr});
+    actions_.emplace_back(FinishSearch{id, search.Answer(), nullptr, 0});
     Remove(now, id);
     return;
   }
@@ -433,8 +433,8 @@
   if (search == nullptr) {
     return;
   }
-  actions_.emplace_back(
-      FinishSearch{id, tl::unexpected(std::move(error)), search->failure});
+  actions_.emplace_back(FinishSearch{id, tl::unexpected(std::move(error)),
+                                     search->failure, search->MostAttempts()});
   Remove(now, id);
 }
 
--- a/src/libsnipeworks/search_run.cpp
+++ b/src/libsnipeworks/search_run.cpp
@@ -92,10 +92,16 @@
   return parts_.size() - missing;
 }
 
+std::int64_t SearchRun::MostAttempts() const {
+  std::int64_t most = 0;
+  for (const PartRun& part : parts_) {
+    most = std::max(most, part.possibly_run_attempts);
+  }
+  return most;
+}
+
 bool SearchRun::MayHaveRun() const {
-  return std::ranges::any_of(parts_, [](const PartRun& part) {
-    return part.possibly_run_attempts > 0;
-  });
+  return MostAttempts() > 0;
 }
 
 bool SearchRun::Started() const {
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -16,11 +16,11 @@
 // cause.
 constexpr double kContextWindowSeconds = 15.0;
 
-constexpr std::array<std::string_view, 11> kContextEvents = {
+constexpr std::array<std::string_view, 12> kContextEvents = {
     "target_changed", "control_lost",  "control_regained",
     "stalled",        "lines_dropped", "routing_in_force",
     "ready",          "unready",       "stopping",
-    "stopped",        "target_limit"};
+    "stopped",        "target_limit",  "target_contact"};
 
 double TimeField(const json& line) {
   return line.value("time", 0.0);
@@ -107,7 +107,7 @@
       std::ranges::find_if(request_lines_, [](const json& line) {
         const std::string event = StringField(line, "event");
         return event == "request" || event == "request_rejected" ||
-               event == "caller_gone";
+               event == "caller_gone" || event == "relayed";
       });
   if (final_line == request_lines_.end()) {
     return "no line tells its end: it succeeded and was sampled out, or the "
@@ -122,7 +122,15 @@
            StringField(*final_line, "reason");
   }
   const std::string outcome = StringField(*final_line, "outcome");
+  if (event == "relayed") {
+    return "relayed to " + StringField(*final_line, "relay") +
+           ", as this host reached no target: " + outcome;
+  }
   std::string cause = outcome;
+  if (const std::string origin = StringField(*final_line, "origin");
+      !origin.empty()) {
+    cause += ", run for " + origin;
+  }
   if (const std::string detail = StringField(*final_line, "detail");
       !detail.empty()) {
     cause += ": " + detail;
