Do not hold requests guilty of a cut that resets their connections

What callers see: a cut that resets the connections of one entry host gets the requests that it was running suspected at all entry hosts; they run alone next or are refused, though no target has crashed.

Cause: a lost connection whose target then refuses a new one counted as the crash of that target. A host that has lost all its targets sees just that for each part. The class: evidence about others from a host that is itself at fault.

Change: a loss counts only once some other target has responded or taken a connection after it; if the host turns out to have lost its targets, it is an ordinary failure.

--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -63,6 +63,13 @@
     std::optional<RelayId> relay;
     std::int64_t attempts = 0;  ///< Of a part, before it was relayed.
   };
+  /// A target refuses connections after it lost one, which is no proof that it
+  /// has ended while no other target responds either.
+  struct UnconfirmedLoss {
+    AttemptId attempt = 0;
+    AttemptOutcome outcome;
+    Instant lost_at{};
+  };
 
   Result<void> StartListeners();
   void OnRequest(ExchangeId exchange, HttpRequest request);
@@ -87,6 +94,10 @@
   // Contact with targets.
   void UpdateContact(Instant now);
   void TestConnections(Instant now, std::size_t count);
+  void ResolveLosses(Instant now);
+  void ApplyOutcome(Instant now,
+                    AttemptId attempt,
+                    const AttemptOutcome& outcome);
   HttpResponse OnFaultInjection(const HttpRequest& request);
 
   void Reject(ExchangeId exchange,
@@ -131,6 +142,7 @@
   ContactState logged_contact_ = ContactState::kReached;
   /// While contact is lost: the requests in flight have been relayed.
   bool failed_over_ = false;
+  std::vector<UnconfirmedLoss> unconfirmed_losses_;
   RequestRelay relay_;
   LoopTimer timer_;
   std::unique_ptr<HttpListener> front_;
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -572,12 +572,23 @@
 
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
   const Instant now = MonotonicNow();
-  const auto [request, target, fingerprint] = searches_.FindAttempt(attempt);
+  const std::string target = searches_.FindAttempt(attempt).target;
   contact_.OnEnded(now, attempt, HasResponded(outcome), outcome.new_connection);
   if (outcome.connect_failed || outcome.status == AttemptStatus::kLost) {
     contact_.OnConnectionFailed(now, target);
   }
+  if (outcome.status == AttemptStatus::kLost) {
+    unconfirmed_losses_.push_back({attempt, outcome, now});
+    return;
+  }
+  ApplyOutcome(now, attempt, outcome);
+}
+
+void ForwardHost::ApplyOutcome(Instant now,
+                               AttemptId attempt,
+                               const AttemptOutcome& outcome) {
   metrics_.OnOutcome(outcome.status);
+  const auto [request, target, fingerprint] = searches_.FindAttempt(attempt);
   if (HasResponded(outcome) && IsInOtherZone(target)) {
     reachability_.OnResponse();
   }
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kMinRelayTime = milliseconds(20);
 // Requests in flight are given up once no target has responded for this long.
 constexpr Duration kFailOverSilence = milliseconds(150);
+// A lost connection counts against its request if it is unclear for longer
+// whether the host reaches its targets.
+constexpr Duration kMaxLossCheck = milliseconds(1000);
 
 // The times of a policy, less the time that has passed.
 GroupPolicy Shortened(GroupPolicy policy, Duration passed) {
@@ -252,6 +255,7 @@
 
 void ForwardHost::UpdateContact(Instant now) {
   TestConnections(now, contact_.Update(now, searches_.view().size()));
+  ResolveLosses(now);
   const ContactState state = contact_.state();
   const Duration silence = now - contact_.last_contact();
   if (std::exchange(logged_contact_, state) != state) {
@@ -291,6 +295,27 @@
   }
 }
 
+void ForwardHost::ResolveLosses(Instant now) {
+  std::vector<UnconfirmedLoss> resolved;
+  std::erase_if(unconfirmed_losses_, [&](const UnconfirmedLoss& loss) {
+    const bool confirmed = contact_.last_contact() > loss.lost_at ||
+                           now - loss.lost_at > kMaxLossCheck ||
+                           searches_.view().size() <= 1;
+    const bool refuted = contact_.state() == ContactState::kLost;
+    if (!confirmed && !refuted) {
+      return false;
+    }
+    resolved.push_back(loss);
+    if (refuted) {
+      resolved.back().outcome.status = AttemptStatus::kFailed;
+    }
+    return true;
+  });
+  for (const UnconfirmedLoss& loss : resolved) {
+    ApplyOutcome(now, loss.attempt, loss.outcome);
+  }
+}
+
 HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
   auto document = ParseJson(request.body);
   if (!document) {
