Have other hosts run the requests of a snipe-entry host without targets

What callers see: as with snipe-forward, a host of snipe-entry that has lost its targets lets searches wait or fails them, and refuses orders.

Cause: the same. TargetGateway also takes a connection that times out for a target that is gone.

Change: ContactMonitor (contact, test connections, unconfirmed losses) is taken out of ForwardHost and serves both programs; entry hosts tell each other where they serve callers; EntryApi relays a search or an order, at once or after a failure that needs no other proof. An order that was not run is relayed after the record of that. The simulated cut is in POST /v1/faults.

--- a/src/include/snipeworks/entry_messages.h
+++ b/src/include/snipeworks/entry_messages.h
@@ -94,11 +94,13 @@
   std::uint64_t view_digest = 0;
   std::uint64_t settings_version = 0;
   std::vector<Renewal> renewals;
+  std::string caller_address;  ///< At which the sender serves callers.
 };
 
 template <SameStruct<RenewalBatch> S>
 auto WireFields(S& v) {
-  return std::tie(v.host, v.view_digest, v.settings_version, v.renewals);
+  return std::tie(v.host, v.view_digest, v.settings_version, v.renewals,
+                  v.caller_address);
 }
 
 /// Targets that the sender has not heard from recently. The answer is a
--- a/src/include/snipeworks/error.h
+++ b/src/include/snipeworks/error.h
@@ -55,6 +55,10 @@
 
 const ErrorRow& RowOf(ErrorKind kind);
 
+/// True if another host may succeed with a request that failed here: not if
+/// the request itself is at fault.
+bool MaySucceedElsewhere(ErrorKind kind);
+
 /// The value in problem documents: "no", "maybe" or "yes".
 std::string_view ToString(ExecutionStatus execution);
 
--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -37,12 +37,9 @@
   void SetMaxConnections(const std::string& address,
                          std::uint32_t max_connections);
 
-  /// Opens a connection to `address` and closes it; `done` gets whether it was
-  /// opened.
+  /// See HttpClient.
   void TestConnection(const std::string& address,
                       std::function<void(bool reached)> done);
-
-  /// See HttpClient.
   void SimulateCut(std::optional<CutKind> cut) { client_.SimulateCut(cut); }
 
   const HttpClientTraffic& traffic() const { return client_.traffic(); }
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "snipeworks/contact_monitor.h"
 #include "snipeworks/control_feed.h"
 #include "snipeworks/entry_metrics.h"
 #include "snipeworks/event_log.h"
@@ -23,7 +24,6 @@
 #include "snipeworks/reachability_monitor.h"
 #include "snipeworks/request_relay.h"
 #include "snipeworks/search_controller.h"
-#include "snipeworks/target_contact.h"
 
 namespace snipeworks {
 
@@ -63,14 +63,6 @@
     std::optional<RelayId> relay;
     std::int64_t attempts = 0;  ///< Of a part, before it was relayed.
   };
-  /// A target refuses connections after it lost one, which is no proof that it
-  /// has ended while no other target responds either.
-  struct UnconfirmedLoss {
-    AttemptId attempt = 0;
-    AttemptOutcome outcome;
-    Instant lost_at{};
-  };
-
   Result<void> StartListeners();
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnCallerDisconnected(ExchangeId exchange);
@@ -91,13 +83,7 @@
   void OnRelayedRequest(ExchangeId exchange, const HttpRequest& request);
   void OnOriginDisconnected(ExchangeId exchange);
 
-  // Contact with targets.
-  void UpdateContact(Instant now);
-  void TestConnections(Instant now, std::size_t count);
-  void ResolveLosses(Instant now);
-  void ApplyOutcome(Instant now,
-                    AttemptId attempt,
-                    const AttemptOutcome& outcome);
+  void ApplyOutcome(AttemptId attempt, const AttemptOutcome& outcome);
   HttpResponse OnFaultInjection(const HttpRequest& request);
 
   void Reject(ExchangeId exchange,
@@ -110,6 +96,7 @@
   void LogFinish(const RunningRequest& running,
                  const FinishSearch& finish,
                  int status);
+  void LogContact(ContactState state, Duration silence);
   void LogRelayed(const RunningRequest& running,
                   const RelayOutcome& outcome,
                   int status);
@@ -138,11 +125,7 @@
   ForwardGateway gateway_;
   ControlFeed feed_;
   ReachabilityMonitor reachability_;
-  TargetContact contact_;
-  ContactState logged_contact_ = ContactState::kReached;
-  /// While contact is lost: the requests in flight have been relayed.
-  bool failed_over_ = false;
-  std::vector<UnconfirmedLoss> unconfirmed_losses_;
+  ContactMonitor contact_;
   RequestRelay relay_;
   LoopTimer timer_;
   std::unique_ptr<HttpListener> front_;
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "snipeworks/clock.h"
+#include "snipeworks/error.h"
 #include "snipeworks/event_loop.h"
 #include "snipeworks/http_message.h"
 
@@ -112,8 +113,9 @@
   kRefuseNew,  ///< Open connections stay, and new ones are refused.
 };
 
-/// The kind named "silent", "reset" or "refuse-new", or nothing.
-std::optional<CutKind> ParseCutKind(std::string_view name);
+/// Reads {"targets": "silent"}, "reset", "refuse-new" or "none". Fails with
+/// kBadRequest.
+Result<std::optional<CutKind>> ParseCut(std::string_view json_text);
 
 /// Calls, connections and bytes of a client.
 struct HttpTrafficCounters {
@@ -157,6 +159,12 @@
   /// Aborts a call if no byte of it was sent; its `done` runs with kNotSent.
   void AbortUnsent(HttpCallId call);
 
+  /// Opens a connection to `address`; `done` gets whether that succeeded within
+  /// `timeout`.
+  void TestConnection(const std::string& address,
+                      Duration timeout,
+                      std::function<void(bool reached)> done);
+
   /// Limits the number of open connections to `address`.
   void SetConnectionLimit(const std::string& address, std::uint32_t limit);
   /// Retires the connection of `call`, which has become silent, and all others
--- a/src/include/snipeworks/request_relay.h
+++ b/src/include/snipeworks/request_relay.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "snipeworks/error.h"
 #include "snipeworks/event_loop.h"
 #include "snipeworks/http_client.h"
 #include "snipeworks/relay_messages.h"
@@ -24,6 +25,10 @@
   kUnknown,  ///< A host may have run it; its answer was lost or is late.
 };
 
+/// The error for a caller whose relayed request ended as `status`, which is not
+/// kAnswered. `once`: the request may run at most once.
+Error RelayError(RelayStatus status, bool once);
+
 /// The outcome of a relayed request.
 struct RelayOutcome {
   RelayStatus status = RelayStatus::kNotRun;
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -181,6 +181,8 @@
   /// to run once more. Charges nothing and returns false if the budget of any
   /// is exhausted.
   bool TakeExtraAttempts(Instant now, const SearchPlan& plan);
+  /// The same for a search over all parts of `group`.
+  bool TakeExtraAttempts(Instant now, const std::string& group);
 
   void OnOutcome(Instant now, AttemptId attempt, const AttemptOutcome& outcome);
   void OnProbe(Instant now, AttemptId attempt, ProbeState state);
--- a/src/include/snipeworks/target_gateway.h
+++ b/src/include/snipeworks/target_gateway.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -33,6 +34,11 @@
   void Cancel(AttemptId attempt);
   void Probe(AttemptId attempt);
 
+  /// See HttpClient.
+  void TestConnection(const std::string& address,
+                      std::function<void(bool reached)> done);
+  void SimulateCut(std::optional<CutKind> cut) { client_.SimulateCut(cut); }
+
   /// Limits the connections to `address`; the first call for an address opens
   /// one ahead of use.
   void SetMaxConnections(const std::string& address,
--- a/src/libsnipeworks/error.cpp
+++ b/src/libsnipeworks/error.cpp
@@ -76,6 +76,11 @@
   return kTable.back();
 }
 
+bool MaySucceedElsewhere(ErrorKind kind) {
+  return kind == ErrorKind::kOverloaded || kind == ErrorKind::kNoTarget ||
+         kind == ErrorKind::kUnknownGroup || kind == ErrorKind::kTargetsFailed;
+}
+
 std::string_view ToString(ExecutionStatus execution) {
   switch (execution) {
     case ExecutionStatus::kNotRun:
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -145,18 +145,8 @@
 }
 
 void ForwardGateway::TestConnection(const std::string& address,
-                                    std::function<void(bool)> done) {
-  HttpCall call;
-  call.address = address;
-  call.connect_only = true;
-  call.timeout = kConnectTimeout;
-  call.connect_timeout = kConnectTimeout;
-  client_.Send(std::move(call),
-               [done = std::move(done)](const HttpCallResult& result) {
-                 // A target at its connection limit resets the connection.
-                 done(result.status == HttpCallStatus::kAnswered ||
-                      result.status == HttpCallStatus::kLost);
-               });
+                                    std::function<void(bool reached)> done) {
+  client_.TestConnection(address, kConnectTimeout, std::move(done));
 }
 
 void ForwardGateway::Cancel(AttemptId attempt) {
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -90,12 +90,6 @@
   return result;
 }
 
-// False if the request itself is at fault.
-bool MaySucceedElsewhere(ErrorKind kind) {
-  return kind == ErrorKind::kOverloaded || kind == ErrorKind::kNoTarget ||
-         kind == ErrorKind::kUnknownGroup || kind == ErrorKind::kTargetsFailed;
-}
-
 ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
   ListenerLimits limits;
   limits.max_body_bytes =
@@ -149,6 +143,19 @@
              [this](const std::vector<RelayHost>& hosts) {
                relay_.selector().SetHosts(hosts);
              }}),
+      contact_(searches_.view(),
+               random_.Next(),
+               {[this](const std::string& address,
+                       const std::function<void(bool)>& done) {
+                  gateway_.TestConnection(address, done);
+                },
+                [this](AttemptId attempt, const AttemptOutcome& outcome) {
+                  ApplyOutcome(attempt, outcome);
+                },
+                [this](ContactState state, Duration silence) {
+                  LogContact(state, silence);
+                },
+                [this] { FailOverAll(MonotonicNow()); }}),
       relay_(loop, RelaySelector(settings_.zone(), random_.Next())),
       timer_(loop, [this] {
         searches_.Tick(MonotonicNow());
@@ -478,7 +485,7 @@
     SetNextTimer();
   }
   reachability_.Update(now, feed_.quorum_reachable(now));
-  UpdateContact(now);
+  contact_.Update(now);
   LogTraffic(now);
   LogReadiness();
   log_.FlushIfDue(now);
@@ -511,7 +518,7 @@
     }
     const auto running =
         running_.find(searches_.FindAttempt(command.id).request);
-    contact_.OnSent(now, command.id, command.target,
+    contact_.OnSent(now, command,
                     running == running_.end()
                         ? Duration{}
                         : searches_.SlowLatency(running->second.request.group));
@@ -571,21 +578,11 @@
 }
 
 void ForwardHost::OnOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
-  const Instant now = MonotonicNow();
-  const std::string target = searches_.FindAttempt(attempt).target;
-  contact_.OnEnded(now, attempt, HasResponded(outcome), outcome.new_connection);
-  if (outcome.connect_failed || outcome.status == AttemptStatus::kLost) {
-    contact_.OnConnectionFailed(now, target);
-  }
-  if (outcome.status == AttemptStatus::kLost) {
-    unconfirmed_losses_.push_back({attempt, outcome, now});
-    return;
-  }
-  ApplyOutcome(now, attempt, outcome);
+  contact_.OnOutcome(MonotonicNow(), attempt,
+                     searches_.FindAttempt(attempt).target, outcome);
 }
 
-void ForwardHost::ApplyOutcome(Instant now,
-                               AttemptId attempt,
+void ForwardHost::ApplyOutcome(AttemptId attempt,
                                const AttemptOutcome& outcome) {
   metrics_.OnOutcome(outcome.status);
   const auto [request, target, fingerprint] = searches_.FindAttempt(attempt);
@@ -608,7 +605,7 @@
          {"status", outcome.answer ? outcome.answer->status : 0},
          {"retry_after_ms", outcome.retry_after}});
   }
-  searches_.OnOutcome(now, attempt, outcome);
+  searches_.OnOutcome(MonotonicNow(), attempt, outcome);
 }
 
 void ForwardHost::Finish(const FinishSearch& finish) {
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -96,6 +96,14 @@
        {"sampled_one_in", routine ? kSuccessSample : 1}});
 }
 
+void ForwardHost::LogContact(ContactState state, Duration silence) {
+  log_.Write(EventKind::kTargetContact,
+             {{"state", ToString(state)},
+              {"silent_ms", silence},
+              {"running", running_.size()},
+              {"relay_hosts", relay_.selector().hosts()}});
+}
+
 void ForwardHost::LogRelayed(const RunningRequest& running,
                              const RelayOutcome& outcome,
                              int status) {
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -1,14 +1,10 @@
-// Contact of a forwarding host with its targets, and requests that one entry
-// host runs for another.
+// Requests that one forwarding host runs for another.
 
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "snipeworks/caller_api.h"
 #include "snipeworks/forward_host.h"
-#include "snipeworks/json_reader.h"
 #include "snipeworks/relay_messages.h"
 
 namespace snipeworks {
@@ -21,12 +17,6 @@
 constexpr Duration kRelayMargin = milliseconds(5);
 // A request with less time left is not relayed.
 constexpr Duration kMinRelayTime = milliseconds(20);
-// Requests in flight are given up once no target has responded for this long.
-constexpr Duration kFailOverSilence = milliseconds(150);
-// A lost connection counts against its request if it is unclear for longer
-// whether the host reaches its targets.
-constexpr Duration kMaxLossCheck = milliseconds(1000);
-
 // The times of a policy, less the time that has passed.
 GroupPolicy Shortened(GroupPolicy policy, Duration passed) {
   const std::int64_t passed_ms = (passed + kRelayMargin) / milliseconds(1);
@@ -89,20 +79,6 @@
   return request;
 }
 
-// The answer to a request whose relay has not returned one.
-Error RelayError(const RelayOutcome& outcome, bool repeatable, bool late) {
-  if (outcome.status == RelayStatus::kNotRun) {
-    return {ErrorKind::kNotReady,
-            "this host reaches no target, and no other entry host took the "
-            "request",
-            milliseconds(250)};
-  }
-  const ErrorKind kind = !repeatable ? ErrorKind::kOutcomeUnknown
-                         : late      ? ErrorKind::kDeadline
-                                     : ErrorKind::kTargetsFailed;
-  return {kind, "the entry host that ran the request did not answer", {}};
-}
-
 }  // namespace
 
 bool ForwardHost::MayRelay(Instant now) const {
@@ -198,9 +174,12 @@
     }
     running = std::move(running_.extract(id).mapped());
   }
+  Error error = RelayError(outcome.status, !running.request.repeatable);
+  if (late && error.kind == ErrorKind::kTargetsFailed) {
+    error.kind = ErrorKind::kDeadline;
+  }
   HttpResponse response =
-      ToHttpResponse(RelayError(outcome, running.request.repeatable, late),
-                     RetryAfterFormat::kFractionalSeconds);
+      ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
   response.headers.push_back(
       {names_.request_id, running.request.forwarded->request_id});
   response.close = outcome.status == RelayStatus::kNotRun;
@@ -253,82 +232,12 @@
   }
 }
 
-void ForwardHost::UpdateContact(Instant now) {
-  TestConnections(now, contact_.Update(now, searches_.view().size()));
-  ResolveLosses(now);
-  const ContactState state = contact_.state();
-  const Duration silence = now - contact_.last_contact();
-  if (std::exchange(logged_contact_, state) != state) {
-    failed_over_ = false;
-    log_.Write(EventKind::kTargetContact,
-               {{"state", ToString(state)},
-                {"silent_ms", silence},
-                {"running", running_.size()},
-                {"relay_hosts", relay_.selector().hosts()}});
-  }
-  // Connections that live on still bring answers.
-  if (state == ContactState::kLost && silence >= kFailOverSilence &&
-      !std::exchange(failed_over_, true)) {
-    FailOverAll(now);
-  }
-}
-
-void ForwardHost::TestConnections(Instant now, std::size_t count) {
-  if (count == 0) {
-    return;
-  }
-  std::vector<const Announcement*> targets = searches_.view().All();
-  std::erase_if(targets, [&](const Announcement* target) {
-    return searches_.view().Usable(now, target->target) == nullptr;
-  });
-  for (std::size_t i = 0; i < count; ++i) {
-    if (targets.empty()) {
-      contact_.OnTest(now, false);
-      continue;
-    }
-    const std::size_t chosen = random_.Below(targets.size());
-    const std::string address = targets[chosen]->address;
-    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
-    gateway_.TestConnection(address, [this](bool reached) {
-      contact_.OnTest(MonotonicNow(), reached);
-    });
-  }
-}
-
-void ForwardHost::ResolveLosses(Instant now) {
-  std::vector<UnconfirmedLoss> resolved;
-  std::erase_if(unconfirmed_losses_, [&](const UnconfirmedLoss& loss) {
-    const bool confirmed = contact_.last_contact() > loss.lost_at ||
-                           now - loss.lost_at > kMaxLossCheck ||
-                           searches_.view().size() <= 1;
-    const bool refuted = contact_.state() == ContactState::kLost;
-    if (!confirmed && !refuted) {
-      return false;
-    }
-    resolved.push_back(loss);
-    if (refuted) {
-      resolved.back().outcome.status = AttemptStatus::kFailed;
-    }
-    return true;
-  });
-  for (const UnconfirmedLoss& loss : resolved) {
-    ApplyOutcome(now, loss.attempt, loss.outcome);
-  }
-}
-
 HttpResponse ForwardHost::OnFaultInjection(const HttpRequest& request) {
-  auto document = ParseJson(request.body);
-  if (!document) {
-    return ToHttpResponse(document.error());
-  }
-  JsonReader reader(*document);
-  const std::string cut = reader.String("targets");
-  const std::optional<CutKind> kind = ParseCutKind(cut);
-  if (!reader.ok() || (!kind && cut != "none")) {
-    return {400, "text/plain",
-            "targets: must be silent, reset, refuse-new or none\n"};
+  auto cut = ParseCut(request.body);
+  if (!cut) {
+    return ToHttpResponse(cut.error());
   }
-  gateway_.SimulateCut(kind);
+  gateway_.SimulateCut(*cut);
   return {200, "text/plain", "ok\n"};
 }
 
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -649,6 +649,21 @@
   return impl_->Send(std::move(call), std::move(done));
 }
 
+// A server at its connection limit accepts the connection and resets it.
+void HttpClient::TestConnection(const std::string& address,
+                                Duration timeout,
+                                std::function<void(bool reached)> done) {
+  HttpCall call;
+  call.address = address;
+  call.connect_only = true;
+  call.timeout = timeout;
+  call.connect_timeout = timeout;
+  Send(std::move(call), [done = std::move(done)](const HttpCallResult& result) {
+    done(result.status == HttpCallStatus::kAnswered ||
+         result.status == HttpCallStatus::kLost);
+  });
+}
+
 void HttpClient::Abort(HttpCallId call) {
   impl_->Abort(call);
 }
--- a/src/libsnipeworks/http_client_state.cpp
+++ b/src/libsnipeworks/http_client_state.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "snipeworks/json_reader.h"
+
 namespace snipeworks {
 
 namespace {
@@ -115,17 +117,27 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-std::optional<CutKind> ParseCutKind(std::string_view name) {
-  if (name == "silent") {
+Result<std::optional<CutKind>> ParseCut(std::string_view json_text) {
+  auto document = ParseJson(json_text);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  JsonReader reader(*document);
+  const std::string name = reader.String("targets");
+  if (reader.ok() && name == "silent") {
     return CutKind::kSilent;
   }
-  if (name == "reset") {
+  if (reader.ok() && name == "reset") {
     return CutKind::kReset;
   }
-  if (name == "refuse-new") {
+  if (reader.ok() && name == "refuse-new") {
     return CutKind::kRefuseNew;
   }
-  return std::nullopt;
+  if (reader.ok() && name == "none") {
+    return std::optional<CutKind>();
+  }
+  return Fail(ErrorKind::kBadRequest,
+              "targets: must be silent, reset, refuse-new or none");
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/parsers_test.cpp
+++ b/src/libsnipeworks/parsers_test.cpp
@@ -90,8 +90,8 @@
 RC_GTEST_PROP(Parsers, CorruptedHostMessagesAreHandled, ()) {
   AnnouncementBatch batch{"h", {{SampleAnnouncement(), 5}}};
   (void)Decode<AnnouncementBatch>(Corrupted(Encode(batch)));
-  (void)Decode<RenewalBatch>(
-      Corrupted(Encode(RenewalBatch{"h", 1, 2, {{"t", 1, 2, 3, 4, 5}}})));
+  (void)Decode<RenewalBatch>(Corrupted(
+      Encode(RenewalBatch{"h", 1, 2, {{"t", 1, 2, 3, 4, 5}}, "a:1"})));
   ConsensusMessage message;
   message.entries = {{1, 1, EntryKind::kCommand, "c", {}}};
   (void)Decode<ConsensusMessage>(Corrupted(Encode(message)));
--- a/src/libsnipeworks/request_relay.cpp
+++ b/src/libsnipeworks/request_relay.cpp
@@ -11,6 +11,8 @@
 constexpr int kOkStatus = 200;
 // A host that is up accepts within a round trip.
 constexpr Duration kConnectTimeout = milliseconds(250);
+// The host looks again for targets within this time.
+constexpr Duration kNotRunRetryAfter = milliseconds(250);
 constexpr std::size_t kMaxTries = 6;
 // Each costs a caller the connect timeout.
 constexpr std::size_t kMaxUnreachable = 2;
@@ -21,6 +23,18 @@
 
 }  // namespace
 
+Error RelayError(RelayStatus status, bool once) {
+  if (status == RelayStatus::kNotRun) {
+    return {ErrorKind::kNotReady,
+            "this host reaches no target, and no other entry host took the "
+            "request",
+            kNotRunRetryAfter};
+  }
+  return {once ? ErrorKind::kOutcomeUnknown : ErrorKind::kTargetsFailed,
+          "the entry host that ran the request did not answer",
+          {}};
+}
+
 RequestRelay::RequestRelay(EventLoop& loop, RelaySelector selector)
     : loop_(loop), client_(loop), selector_(std::move(selector)) {}
 
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -51,6 +51,11 @@
   return impl_->TakeExtraAttempts(now, plan);
 }
 
+bool SearchController::TakeExtraAttempts(Instant now,
+                                         const std::string& group) {
+  return impl_->TakeExtraAttempts(now, group);
+}
+
 void SearchController::OnOutcome(Instant now,
                                  AttemptId attempt,
                                  const AttemptOutcome& outcome) {
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -164,10 +164,24 @@
 }
 
 bool SearchEngine::TakeExtraAttempts(Instant now, const SearchPlan& plan) {
-  for (std::size_t i = 0; i < plan.groups.size(); ++i) {
-    if (!TakeExtraBudget(now, plan.policy, plan.groups[i], 0.0)) {
+  return TakeExtraBudgets(now, plan.policy, plan.groups);
+}
+
+bool SearchEngine::TakeExtraAttempts(Instant now, const std::string& group) {
+  GroupState& state = EnsureGroup(group);
+  const auto snapshot = state.Snapshot(now, view_);
+  const std::size_t parts = snapshot ? snapshot->replicas.size() : 1;
+  return TakeExtraBudgets(now, state.policy,
+                          std::vector<std::string>(parts, group));
+}
+
+bool SearchEngine::TakeExtraBudgets(Instant now,
+                                    const GroupPolicy& policy,
+                                    const std::vector<std::string>& groups) {
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    if (!TakeExtraBudget(now, policy, groups[i], 0.0)) {
       for (std::size_t taken = 0; taken < i; ++taken) {
-        extra_attempt_budgets_[plan.groups[taken]].Refund(now);
+        extra_attempt_budgets_[groups[taken]].Refund(now);
       }
       return false;
     }
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -101,6 +101,7 @@
   }
   std::optional<std::int64_t> MostAttempts(RequestId request) const;
   bool TakeExtraAttempts(Instant now, const SearchPlan& plan);
+  bool TakeExtraAttempts(Instant now, const std::string& group);
   void OnOutcome(Instant now, AttemptId id, const AttemptOutcome& outcome);
   void OnProbe(Instant now, AttemptId id, ProbeState state);
   bool OnEvidence(Instant now, const PoisonEvidence& evidence);
@@ -145,6 +146,10 @@
   /// This host's limits on extra attempts for the targets of one group.
   ExtraAttemptLimits ExtraLimits(const GroupPolicy& policy,
                                  const std::string& group) const;
+  /// Takes one extra attempt for each of `groups`, or none.
+  bool TakeExtraBudgets(Instant now,
+                        const GroupPolicy& policy,
+                        const std::vector<std::string>& groups);
   bool TakeExtraBudget(Instant now,
                        const GroupPolicy& policy,
                        const std::string& group,
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -22,6 +22,8 @@
 // reset one connection before it refuses the next.
 constexpr int kMaxVerifyTries = 4;
 constexpr Duration kVerifyInterval = milliseconds(5);
+// A live target accepts within a few milliseconds.
+constexpr Duration kTestTimeout = milliseconds(250);
 constexpr Duration kWarmUpTimeout = milliseconds(1000);
 
 }  // namespace
@@ -85,13 +87,20 @@
   running_[command.id] = std::move(running);
 }
 
+void TargetGateway::TestConnection(const std::string& address,
+                                   std::function<void(bool reached)> done) {
+  client_.TestConnection(address, kTestTimeout, std::move(done));
+}
+
 void TargetGateway::OnAnswer(AttemptId attempt, const HttpCallResult& result) {
   auto node = running_.extract(attempt);
   if (node.empty()) {
     return;
   }
   const RunningAttempt& running = node.mapped();
-  const AttemptOutcome outcome = OutcomeOf(result, running.wire_id);
+  AttemptOutcome outcome = OutcomeOf(result, running.wire_id);
+  outcome.new_connection = !result.reused_connection;
+  outcome.connect_failed = result.connect_failed;
   if (outcome.status == AttemptStatus::kLost) {
     VerifyTargetLoss(running, kMaxVerifyTries);
   } else {
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -1,5 +1,6 @@
 #include "entry_api.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -8,6 +9,7 @@
 
 #include "snipeworks/caller_api.h"
 #include "snipeworks/json_reader.h"
+#include "snipeworks/relay_messages.h"
 
 namespace snipeworks {
 
@@ -19,6 +21,10 @@
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
 // Far more than the callers and load balancers of one host keep open.
 constexpr std::size_t kMaxConnections = 1000;
+// For searches without a deadline of their own.
+constexpr Duration kDefaultBudget = std::chrono::seconds(10);
+// The crossing to another host and back.
+constexpr Duration kRelayMargin = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxActionBytes = std::size_t{16} * 1024;
 
 HttpResponse TextResponse(int status, std::string body) {
@@ -96,17 +102,15 @@
 }
 
 void EntryApi::OnRequest(ExchangeId exchange, const HttpRequest& request) {
-  if (request.method == "POST") {
-    const std::string search_group = GroupInPath(request.path, "search");
-    if (!search_group.empty()) {
-      OnSearch(exchange, search_group, request);
-      return;
-    }
-    const std::string action_group = GroupInPath(request.path, "actions");
-    if (!action_group.empty()) {
-      OnAction(exchange, action_group, request);
-      return;
-    }
+  const Respond respond = [this, exchange](const HttpResponse& response) {
+    listener_->SendResponse(exchange, response);
+  };
+  if (request.method == "POST" && request.path == kRelayPath) {
+    OnRelayedRequest(exchange, request);
+    return;
+  }
+  if (RunRequest(request, respond)) {
+    return;
   }
   listener_->SendResponse(exchange, RouteSafely(request));
 }
@@ -151,42 +155,141 @@
   return NotFoundResponse(request);
 }
 
-void EntryApi::OnSearch(ExchangeId exchange,
-                        const std::string& group,
-                        const HttpRequest& http) {
+bool EntryApi::RunRequest(const HttpRequest& request, const Respond& respond) {
+  if (request.method != "POST") {
+    return false;
+  }
+  const std::string search_group = GroupInPath(request.path, "search");
+  if (!search_group.empty()) {
+    OnSearch(search_group, request, respond);
+    return true;
+  }
+  const std::string action_group = GroupInPath(request.path, "actions");
+  if (!action_group.empty()) {
+    OnAction(action_group, request, respond);
+    return true;
+  }
+  return false;
+}
+
+void EntryApi::OnSearch(const std::string& group,
+                        const HttpRequest& http,
+                        const Respond& respond) {
   auto request = ParseSearch(group, http);
   if (!request) {
-    listener_->SendResponse(exchange,
-                            snipeworks::ToHttpResponse(request.error()));
+    respond(snipeworks::ToHttpResponse(request.error()));
+    return;
+  }
+  const Instant now = MonotonicNow();
+  const Duration budget = request->budget.value_or(kDefaultBudget);
+  if (RelayOrRefuse(http, budget, false, respond)) {
     return;
   }
   request->trace_parent = std::string(http.Header("traceparent"));
-  host_.Search(std::move(*request), [this, exchange](
-                                        const Result<SearchAnswer>& result) {
-    listener_->SendResponse(
-        exchange, result ? snipeworks::ToHttpResponse(*result)
-                         : snipeworks::ToHttpResponse(result.error()));
+  const SearchRequest submitted = *request;
+  host_.Search(submitted, [this, http, submitted, respond, budget,
+                           now](const FinishSearch& finish) {
+    if (host_.MayFailOver(MonotonicNow(), submitted, finish)) {
+      Relay(http, now, budget, false, respond);
+      return;
+    }
+    respond(finish.result ? snipeworks::ToHttpResponse(*finish.result)
+                          : snipeworks::ToHttpResponse(finish.result.error()));
   });
 }
 
-void EntryApi::OnAction(ExchangeId exchange,
-                        const std::string& group,
-                        const HttpRequest& http) {
+void EntryApi::OnAction(const std::string& group,
+                        const HttpRequest& http,
+                        const Respond& respond) {
   auto request = ParseAction(group, http);
   if (!request) {
-    listener_->SendResponse(exchange,
-                            snipeworks::ToHttpResponse(request.error()));
+    respond(snipeworks::ToHttpResponse(request.error()));
+    return;
+  }
+  if (RelayOrRefuse(http, request->budget, true, respond)) {
     return;
   }
   request->trace_parent = std::string(http.Header("traceparent"));
-  host_.RunAction(std::move(*request), [this, exchange](
+  const Instant now = MonotonicNow();
+  const Duration budget = request->budget;
+  host_.RunAction(std::move(*request), [this, http, now, budget, respond](
                                            const Result<ActionAnswer>& result) {
-    listener_->SendResponse(
-        exchange, result ? ToHttpResponse(*result)
-                         : snipeworks::ToHttpResponse(result.error()));
+    if (result) {
+      respond(ToHttpResponse(*result));
+    } else if (host_.MayFailOver(MonotonicNow(), result.error())) {
+      Relay(http, now, budget, true, respond);
+    } else {
+      respond(snipeworks::ToHttpResponse(result.error()));
+    }
   });
 }
 
+bool EntryApi::RelayOrRefuse(const HttpRequest& request,
+                             Duration budget,
+                             bool once,
+                             const Respond& respond) {
+  const Instant now = MonotonicNow();
+  if (host_.MayRelay(now)) {
+    Relay(request, now, budget, once, respond);
+    return true;
+  }
+  if (host_.targets_lost()) {
+    respond(snipeworks::ToHttpResponse(RelayError(RelayStatus::kNotRun, once)));
+    return true;
+  }
+  return false;
+}
+
+// Only a host that reaches its targets takes requests of others, so that none
+// travels in circles.
+void EntryApi::OnRelayedRequest(ExchangeId exchange,
+                                const HttpRequest& request) {
+  const auto call = Decode<RelayedCall>(request.body);
+  HttpRequest inner;
+  if (call) {
+    inner.method = "POST";
+    inner.path = call->path;
+    inner.headers = call->headers;
+    inner.body = call->body;
+  }
+  const Respond respond = [this, exchange](const HttpResponse& response) {
+    listener_->SendResponse(exchange, Encapsulate(RelayReply::From(response)));
+  };
+  if (!call || !host_.TakesRelayed() || !RunRequest(inner, respond)) {
+    listener_->SendResponse(exchange, Encapsulate({}));
+  }
+}
+
+void EntryApi::Relay(const HttpRequest& request,
+                     Instant started,
+                     Duration budget,
+                     bool once,
+                     const Respond& respond) {
+  const Duration left = budget - (MonotonicNow() - started);
+  RelayedCall call;
+  call.origin = host_.settings().host();
+  call.path = request.path;
+  call.body = request.body;
+  for (const HttpHeader& header : request.headers) {
+    if (!SameHeaderName(header.name, kDeadlineHeader)) {
+      call.headers.push_back(header);
+    }
+  }
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+      left - kRelayMargin);
+  call.headers.push_back(
+      {kDeadlineHeader,
+       std::to_string(std::max<std::int64_t>(1, millis.count()))});
+  host_.relay().Send(
+      Encode(call), left, once, [respond, once](const RelayOutcome& outcome) {
+        if (outcome.status == RelayStatus::kAnswered) {
+          respond(outcome.reply.ToResponse());
+        } else {
+          respond(snipeworks::ToHttpResponse(RelayError(outcome.status, once)));
+        }
+      });
+}
+
 HttpResponse EntryApi::OnAnnouncement(const HttpRequest& http) {
   auto announcement = ParseAnnouncement(http.body);
   if (!announcement) {
@@ -252,6 +355,14 @@
   if (!document) {
     return snipeworks::ToHttpResponse(document.error());
   }
+  if (document->contains("targets")) {
+    const auto cut = ParseCut(http.body);
+    if (!cut) {
+      return snipeworks::ToHttpResponse(cut.error());
+    }
+    host_.SimulateCut(*cut);
+    return TextResponse(200, "ok\n");
+  }
   JsonReader reader(*document);
   const std::string address = reader.String("address");
   if (!reader.ok()) {
--- a/src/snipe-entry/entry_api.h
+++ b/src/snipe-entry/entry_api.h
@@ -2,6 +2,7 @@
 #define SNIPE_ENTRY_ENTRY_API_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,12 +34,30 @@
   /// Answers a request that is neither a search nor an action.
   HttpResponse Route(const HttpRequest& request);
   HttpResponse RouteSafely(const HttpRequest& request);
-  void OnSearch(ExchangeId exchange,
-                const std::string& group,
-                const HttpRequest& request);
-  void OnAction(ExchangeId exchange,
-                const std::string& group,
-                const HttpRequest& request);
+  using Respond = std::function<void(const HttpResponse&)>;
+
+  /// Runs a search or an action, or has another entry host run it. Returns
+  /// false if `request` is neither.
+  bool RunRequest(const HttpRequest& request, const Respond& respond);
+  void OnSearch(const std::string& group,
+                const HttpRequest& request,
+                const Respond& respond);
+  void OnAction(const std::string& group,
+                const HttpRequest& request,
+                const Respond& respond);
+  void OnRelayedRequest(ExchangeId exchange, const HttpRequest& request);
+  /// Relays a request of a host that has lost its targets, or refuses it if no
+  /// other host is known to help. Returns false if it is to be run here.
+  bool RelayOrRefuse(const HttpRequest& request,
+                     Duration budget,
+                     bool once,
+                     const Respond& respond);
+  /// Has another entry host run `request`, within `budget` from `started`.
+  void Relay(const HttpRequest& request,
+             Instant started,
+             Duration budget,
+             bool once,
+             const Respond& respond);
   HttpResponse OnAnnouncement(const HttpRequest& request);
   HttpResponse OnStatus();
   HttpResponse OnQuarantineRelease(const HttpRequest& request);
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -54,16 +54,33 @@
           spans_,
           random_,
           [this](AttemptId attempt, const AttemptOutcome& outcome) {
-            metrics_.OnOutcome(outcome.status);
-            if (IsActionAttempt(attempt)) {
-              actions_.OnOutcome(MonotonicNow(), attempt, outcome);
-            } else {
-              searches_.OnOutcome(MonotonicNow(), attempt, outcome);
-            }
+            const auto action = action_targets_in_flight_.extract(attempt);
+            contact_.OnOutcome(MonotonicNow(), attempt,
+                               action.empty()
+                                   ? searches_.FindAttempt(attempt).target
+                                   : action.mapped(),
+                               outcome);
           },
           [this](AttemptId attempt, ProbeState state) {
             searches_.OnProbe(MonotonicNow(), attempt, state);
           }),
+      contact_(searches_.view(),
+               random_.Next(),
+               {[this](const std::string& address,
+                       const std::function<void(bool)>& done) {
+                  gateway_.TestConnection(address, done);
+                },
+                [this](AttemptId attempt, const AttemptOutcome& outcome) {
+                  ApplyOutcome(attempt, outcome);
+                },
+                [this](ContactState state, Duration silence) {
+                  LOG(WARNING)
+                      << "event=target_contact state=" << ToString(state)
+                      << " silent_ms=" << ToMilliseconds(silence)
+                      << " relay_hosts=" << relay_.selector().hosts();
+                },
+                [this] { GiveUpSearches(MonotonicNow()); }}),
+      relay_(loop, RelaySelector(settings_.zone(), random_.Next())),
       timer_(loop, [this] {
         const Instant now = MonotonicNow();
         searches_.Tick(now);
@@ -72,6 +89,9 @@
       }) {}
 
 Result<void> EntryHost::Start() {
+  peers_.OnRelayHosts([this](const std::vector<RelayHost>& hosts) {
+    relay_.selector().SetHosts(hosts);
+  });
   auto started = peers_.Start();
   if (!started) {
     return started;
@@ -81,6 +101,55 @@
   return {};
 }
 
+bool EntryHost::ready() const {
+  return initialized() && !draining_ &&
+         (contact_.state() != ContactState::kLost || MayRelay(MonotonicNow()));
+}
+
+bool EntryHost::MayRelay(Instant now) const {
+  return contact_.state() != ContactState::kReached &&
+         relay_.selector().HasCandidate(now);
+}
+
+bool EntryHost::MayFailOver(Instant now,
+                            const SearchRequest& request,
+                            const FinishSearch& finish) {
+  const bool may_succeed = !finish.result &&
+                           MaySucceedElsewhere(finish.result.error().kind) &&
+                           relay_.selector().HasCandidate(now);
+  const bool unconnected =
+      finish.most_attempts == 0 && contact_.ConnectionsFail(now);
+  const bool lost = contact_.state() != ContactState::kReached;
+  return may_succeed && (unconnected || lost) &&
+         (finish.most_attempts == 0 ||
+          searches_.TakeExtraAttempts(now, request.group));
+}
+
+bool EntryHost::MayFailOver(Instant now, const Error& error) const {
+  return error.kind == ErrorKind::kNoTarget &&
+         (contact_.ConnectionsFail(now) ||
+          contact_.state() != ContactState::kReached) &&
+         relay_.selector().HasCandidate(now);
+}
+
+void EntryHost::ApplyOutcome(AttemptId attempt, const AttemptOutcome& outcome) {
+  metrics_.OnOutcome(outcome.status);
+  if (IsActionAttempt(attempt)) {
+    actions_.OnOutcome(MonotonicNow(), attempt, outcome);
+  } else {
+    searches_.OnOutcome(MonotonicNow(), attempt, outcome);
+  }
+}
+
+// Orders wait: their outcome may still arrive.
+void EntryHost::GiveUpSearches(Instant now) {
+  for (const auto& [id, running] : running_searches_) {
+    searches_.GiveUp(now, id,
+                     {ErrorKind::kTargetsFailed,
+                      "this host has lost its targets", std::nullopt});
+  }
+}
+
 bool EntryHost::initialized() const {
   return settings_store_.version() > 0 && peers_.synced();
 }
@@ -117,9 +186,11 @@
   running.started = now;
   running.wall_started = std::chrono::system_clock::now();
   if (!initialized()) {
-    CompleteSearch({request.id, Fail(ErrorKind::kNotReady,
-                                     "settings or targets are not known yet",
-                                     milliseconds(1000))});
+    CompleteSearch(
+        {request.id,
+         Fail(ErrorKind::kNotReady, "settings or targets are not known yet",
+              milliseconds(1000)),
+         nullptr, 0});
     return;
   }
   searches_.Submit(now, request);
@@ -166,6 +237,7 @@
     Execute(step);
     executed = true;
   }
+  contact_.Update(MonotonicNow());
   if (executed) {
     SetNextTimer();
   }
@@ -179,6 +251,8 @@
       gateway_.SetMaxConnections(command.address,
                                  searches_.ConnectionShare(*target));
     }
+    contact_.OnSent(MonotonicNow(), command,
+                    searches_.SlowLatency(command.group));
     gateway_.Start(command);
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
     gateway_.Cancel(cancel->id);
@@ -199,6 +273,9 @@
                      });
   } else if (const auto* send = std::get_if<SendAction>(&step)) {
     metrics_.OnAttempt(send->command.group, send->command.kind);
+    contact_.OnSent(MonotonicNow(), send->command,
+                    searches_.SlowLatency(send->command.group));
+    action_targets_in_flight_[send->command.id] = send->command.target;
     gateway_.Start(send->command);
   } else if (const auto* record = std::get_if<RecordOutcome>(&step)) {
     ProposeOutcome(record->command);
@@ -235,7 +312,7 @@
                   finish.result
                       ? "answered"
                       : std::string(RowOf(finish.result.error().kind).name)}}});
-  running.done(finish.result);
+  running.done(finish);
 }
 
 void EntryHost::CompleteAction(const FinishAction& finish) {
--- a/src/snipe-entry/entry_peers.cpp
+++ b/src/snipe-entry/entry_peers.cpp
@@ -112,6 +112,7 @@
   batch.host = settings_.host();
   batch.view_digest = controller_.view().Digest();
   batch.settings_version = settings_store_.version();
+  batch.caller_address = settings_.http().ToString();
   batch.renewals = std::exchange(pending_renewals_, {});
   const std::vector<Instant> received_at = std::exchange(renewal_times_, {});
   const Instant now = MonotonicNow();
@@ -136,6 +137,7 @@
   if (sender == settings_.entry_hosts().end()) {
     return;
   }
+  RememberRelay(*sender, batch->caller_address);
   const std::string address = sender->address.ToString();
   const bool views_differ = batch->view_digest != controller_.view().Digest();
   // Fetches the view for only half of the differing digests, as a change that
@@ -148,6 +150,21 @@
   }
 }
 
+void EntryPeers::RememberRelay(const PeerHost& sender,
+                               const std::string& address) {
+  const RelayHost relay{sender.host, sender.zone, address};
+  RelayHost& known = relay_hosts_[sender.host];
+  if (known == relay || address.empty()) {
+    return;
+  }
+  known = relay;
+  std::vector<RelayHost> all;
+  for (const auto& [host, other] : relay_hosts_) {
+    all.push_back(other);
+  }
+  on_relay_hosts_(all);
+}
+
 // Returns false if the sender's state of a target differs from this host's, so
 // that the full view must be fetched.
 bool EntryPeers::ApplyRenewals(const RenewalBatch& batch) {
--- a/src/snipe-entry/entry_peers.h
+++ b/src/snipe-entry/entry_peers.h
@@ -2,8 +2,10 @@
 #define SNIPE_ENTRY_ENTRY_PEERS_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "settings_store.h"
@@ -12,6 +14,7 @@
 #include "snipeworks/host_settings.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/random.h"
+#include "snipeworks/relay_selector.h"
 #include "snipeworks/search_controller.h"
 
 namespace snipeworks {
@@ -40,6 +43,12 @@
   /// timed out.
   bool synced() const { return synced_; }
 
+  /// Called with the other entry hosts whenever one is heard of.
+  void OnRelayHosts(
+      std::function<void(const std::vector<RelayHost>&)> handler) {
+    on_relay_hosts_ = std::move(handler);
+  }
+
   PeerTraffic traffic() const;
   PeerClient& client() { return client_; }
 
@@ -55,6 +64,7 @@
   std::string EncodeView() const;
   void BroadcastChange(const Announcement& announcement);
   void SendRenewals();
+  void RememberRelay(const PeerHost& sender, const std::string& address);
   void FetchView(const std::string& address);
   void FetchInitialViews();
   void FetchSettings(const std::string& address, const char* path);
@@ -67,7 +77,9 @@
   Random& random_;
   PeerClient client_;
   std::unique_ptr<PeerServer> server_;
-  std::vector<std::string> peer_addresses_;  ///< Of the other entry hosts.
+  std::vector<std::string> peer_addresses_;       ///< Of the other entry hosts.
+  std::map<std::string, RelayHost> relay_hosts_;  ///< By name.
+  std::function<void(const std::vector<RelayHost>&)> on_relay_hosts_;
   std::vector<Renewal> pending_renewals_;
   std::vector<Instant> renewal_times_;
   bool synced_ = false;
