--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -3,7 +3,8 @@
 usage: run.py BIN [SEED [SECONDS [--controls N] [--entries N] [--groups N]]]
 
 Faults: processes are killed, paused and restarted, targets drain, control hosts lose their
-disk or cannot write to it, and a loopback proxy delays, resets, stalls or blocks connections
+disk or cannot write to it, entry hosts lose all their targets (silently, with connections
+reset, or for new connections alone), and a loopback proxy delays, resets, stalls or blocks connections
 in one direction. Faults follow each other and overlap. The invariants, as seen by callers,
 targets and the operator:
   - a successful search over all shards returns the right records, from one version's shards;
@@ -193,6 +194,8 @@
             worker.join()
         for _, undo in pending:
             undo()
+        for entry in self.deployment.entries:
+            self.set_cut(entry, "none")
         # All faults have ended: all hosts must serve again.
         wait_for("all searches are complete again", lambda: all(
             is_complete(Call(entry, "search.test", "/after").perform())
@@ -211,7 +214,7 @@
         others = sorted(name for name in processes if not name.startswith("control"))
         kind = self.random.choice(["kill", "pause", "drain", "kill control", "pause control",
                                    "wipe control", "fill control", "silent", "cut-out",
-                                   "cut-back", "delay", "reset", "term entry"])
+                                   "cut-back", "delay", "reset", "term entry", "strand entry"])
         self.count(f"fault: {kind}")
         duration_s = self.random.uniform(0.3, 2.5)
         if kind in ("kill control", "pause control", "wipe control", "fill control"):
@@ -223,6 +226,8 @@
             if kind == "fill control":
                 return self.fill_disk(processes[name], time.time() + duration_s)
             return self.kill_or_pause(name, kind, time.time() + duration_s)
+        if kind == "strand entry":
+            return self.strand_entry(time.time() + duration_s)
         if kind in ("silent", "cut-out", "cut-back", "delay", "reset"):
             proxy = self.random.choice(self.deployment.proxies)
             self.record_fault(f"{kind} before {proxy.forward_to} for {duration_s:.1f} s")
@@ -245,6 +250,22 @@
             return time.time() + 7.0, lambda: self.restart_process(process)
         return self.kill_or_pause(name, kind, time.time() + duration_s)
 
+    def strand_entry(self, end):
+        """Cuts an entry host off from all targets; the cut ends with the process at the latest."""
+        entry = self.random.choice(self.deployment.entries)
+        cut = self.random.choice(["silent", "reset", "refuse-new"])
+        self.record_fault(f"{entry} loses its targets: {cut}")
+        # A host that is paused or down has no answer for this.
+        self.set_cut(entry, cut)
+
+        def end_cut():
+            self.record_fault(f"{entry} has its targets again")
+            self.set_cut(entry, "none")
+        return end, end_cut
+
+    def set_cut(self, entry, cut):
+        http("POST", f"{entry}:9000", "/v1/faults", {"targets": cut}, timeout=0.5)
+
     def kill_or_pause(self, name, kind, end):
         process = self.deployment.processes[name]
         process.under_fault = True
@@ -344,7 +365,7 @@
     options = parser.parse_args()
     deployment = forward.Deployment(
         options.programs, options.controls, options.entries, groups=options.groups,
-        network=100 + options.seed % 100)
+        network=100 + options.seed % 100, entry_settings={"allow_faults": True})
     try:
         deployment.start(Proxy)
         soak = Soak(deployment, options.seed, options.seconds)
