--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -77,9 +77,9 @@
   /// Relays a request that cannot be answered here, if it may run again.
   bool FailOver(RequestId id, std::int64_t attempts);
   void FailOverAll(Instant now);
-  void FinishRelayed(RunningRequest running,
+  void FinishRelayed(const RunningRequest& running,
                      const RelayOutcome& outcome,
-                     HttpResponse response);
+                     const HttpResponse& response);
   void OnRelayedRequest(ExchangeId exchange, const HttpRequest& request);
   void OnOriginDisconnected(ExchangeId exchange);
 
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -156,7 +156,7 @@
   RunningRequest running = std::move(node.mapped());
   running.relay.reset();
   if (outcome.status == RelayStatus::kAnswered) {
-    FinishRelayed(std::move(running), outcome, outcome.reply.ToResponse());
+    FinishRelayed(running, outcome, outcome.reply.ToResponse());
     return;
   }
   const Instant deadline = running.started + *running.request.budget;
@@ -183,12 +183,12 @@
   response.headers.push_back(
       {names_.request_id, running.request.forwarded->request_id});
   response.close = outcome.status == RelayStatus::kNotRun;
-  FinishRelayed(std::move(running), outcome, std::move(response));
+  FinishRelayed(running, outcome, response);
 }
 
-void ForwardHost::FinishRelayed(RunningRequest running,
+void ForwardHost::FinishRelayed(const RunningRequest& running,
                                 const RelayOutcome& outcome,
-                                HttpResponse response) {
+                                const HttpResponse& response) {
   LogRelayed(running, outcome, response.status);
   requests_by_exchange_.erase(running.exchange);
   front_->SendResponse(running.exchange, response);
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -15,6 +15,14 @@
 
 # name, file, text, replacement, tests that must fail
 MUTATIONS = [
+    ("contact-silence", LIB + "target_contact.cpp",
+     "return overdue_targets_.size() >= enough;", "return false;", "LostTargets.SilenceOfAll*"),
+    ("contact-tested", LIB + "target_contact.cpp",
+     "  state_ = ContactState::kSuspected;\n", "  state_ = ContactState::kLost;\n",
+     "LostTargets.TargetsThatAllPause*:LostTargets.TargetsOfOneGroup*"),
+    ("relays-spread", LIB + "entry_host_registry.cpp",
+     "auto next = ring.upper_bound(HashOf(host));", "auto next = ring.begin();",
+     "EntryHostRegistries.NameSomeRelays*"),
     ("coverage-from-manifest", LIB + "search_run.cpp",
      "coverage.documents_total = snapshot_->manifest.documents();",
      "coverage.documents_total = coverage.parts_answered;", "Search.PartWithoutReplica*"),
