Never report a relayed request as not run that may have run before

What callers see: a search that may have run at a host that lost its targets, and that no other host took, is answered 503, which promises that it was not run; and one whose answer was lost between two hosts could be sent to more targets than its route allows, as the host that ran it may have used all attempts.

Cause: the refusal of the second host was passed on for the whole request, and its attempts were counted as one.

Change: such a request ends as failed (502), and an answer lost between two hosts is not tried again. A deadline shorter than the crossing no longer gets every host left alone as refusing. testsuite.hosts_without_targets and entry_without_targets pass.

--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -15,7 +15,8 @@
 
 // The crossing to another host and back.
 constexpr Duration kRelayMargin = milliseconds(5);
-// A request with less time left is not relayed.
+constexpr Duration kMinBudget = milliseconds(1);
+// A request in flight with less time left is not relayed.
 constexpr Duration kMinRelayTime = milliseconds(20);
 // The times of a policy, less the time that has passed.
 GroupPolicy Shortened(GroupPolicy policy, Duration passed) {
@@ -43,7 +44,8 @@
   }
   message.request_class = static_cast<std::int64_t>(request.request_class);
   message.repeatable = request.repeatable;
-  message.budget_us = (*request.budget - passed - kRelayMargin).count();
+  message.budget_us =
+      std::max(kMinBudget, *request.budget - passed - kRelayMargin).count();
   message.top_records = format.top_records;
   message.pass_through = format.pass_through;
   message.request_id = request.forwarded->request_id;
@@ -155,26 +157,25 @@
   const Instant now = MonotonicNow();
   RunningRequest running = std::move(node.mapped());
   running.relay.reset();
-  if (outcome.status == RelayStatus::kAnswered) {
+  const bool ran_before = running.attempts > 0;
+  const bool refused =
+      outcome.status == RelayStatus::kAnswered &&
+      outcome.reply.status == RowOf(ErrorKind::kOverloaded).http_status;
+  if (outcome.status == RelayStatus::kAnswered && !(refused && ran_before)) {
     FinishRelayed(running, outcome, outcome.reply.ToResponse());
     return;
   }
   const Instant deadline = running.started + *running.request.budget;
   const bool late = now + kMinRelayTime >= deadline;
-  if (outcome.status == RelayStatus::kNotRun && running.attempts == 0 &&
-      !late && contact_.state() != ContactState::kLost) {
+  if (outcome.status == RelayStatus::kNotRun && !ran_before && !late &&
+      contact_.state() != ContactState::kLost) {
     Run(std::move(running));
     return;
   }
-  if (outcome.status == RelayStatus::kUnknown && !late) {
-    const std::int64_t attempts = running.attempts + 1;
-    running_[id] = std::move(running);
-    if (FailOver(id, attempts)) {
-      return;
-    }
-    running = std::move(running_.extract(id).mapped());
-  }
-  Error error = RelayError(outcome.status, !running.request.repeatable);
+  // What may have run here must not be reported as not run.
+  const RelayStatus status =
+      ran_before ? RelayStatus::kUnknown : outcome.status;
+  Error error = RelayError(status, !running.request.repeatable);
   if (late && error.kind == ErrorKind::kTargetsFailed) {
     error.kind = ErrorKind::kDeadline;
   }
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -190,7 +190,7 @@
   host_.Search(submitted, [this, http, submitted, respond, budget,
                            now](const FinishSearch& finish) {
     if (host_.MayFailOver(MonotonicNow(), submitted, finish)) {
-      Relay(http, now, budget, false, respond);
+      Relay(http, now, budget, false, finish.most_attempts > 0, respond);
       return;
     }
     respond(finish.result ? snipeworks::ToHttpResponse(*finish.result)
@@ -217,7 +217,7 @@
     if (result) {
       respond(ToHttpResponse(*result));
     } else if (host_.MayFailOver(MonotonicNow(), result.error())) {
-      Relay(http, now, budget, true, respond);
+      Relay(http, now, budget, true, false, respond);
     } else {
       respond(snipeworks::ToHttpResponse(result.error()));
     }
@@ -230,7 +230,7 @@
                              const Respond& respond) {
   const Instant now = MonotonicNow();
   if (host_.MayRelay(now)) {
-    Relay(request, now, budget, once, respond);
+    Relay(request, now, budget, once, false, respond);
     return true;
   }
   if (host_.targets_lost()) {
@@ -264,6 +264,7 @@
                      Instant started,
                      Duration budget,
                      bool once,
+                     bool ran_before,
                      const Respond& respond) {
   const Duration left = budget - (MonotonicNow() - started);
   RelayedCall call;
@@ -281,12 +282,19 @@
       {kDeadlineHeader,
        std::to_string(std::max<std::int64_t>(1, millis.count()))});
   host_.relay().Send(
-      Encode(call), left, once, [respond, once](const RelayOutcome& outcome) {
-        if (outcome.status == RelayStatus::kAnswered) {
+      Encode(call), left, once,
+      [respond, once, ran_before](const RelayOutcome& outcome) {
+        const bool refused =
+            outcome.reply.status == RowOf(ErrorKind::kOverloaded).http_status;
+        if (outcome.status == RelayStatus::kAnswered &&
+            !(refused && ran_before)) {
           respond(outcome.reply.ToResponse());
-        } else {
-          respond(snipeworks::ToHttpResponse(RelayError(outcome.status, once)));
+          return;
         }
+        // What may have run here must not be reported as not run.
+        const RelayStatus status =
+            ran_before ? RelayStatus::kUnknown : outcome.status;
+        respond(snipeworks::ToHttpResponse(RelayError(status, once)));
       });
 }
 
--- a/src/snipe-entry/entry_api.h
+++ b/src/snipe-entry/entry_api.h
@@ -53,10 +53,12 @@
                      bool once,
                      const Respond& respond);
   /// Has another entry host run `request`, within `budget` from `started`.
+  /// `ran_before`: it may have run here.
   void Relay(const HttpRequest& request,
              Instant started,
              Duration budget,
              bool once,
+             bool ran_before,
              const Respond& respond);
   HttpResponse OnAnnouncement(const HttpRequest& request);
   HttpResponse OnStatus();
