Test for the crash of a target at once when a connection is lost

Cause: an attempt whose loss waits for a sign that the host reaches targets counts as running; with few requests the sign came after 20 ms and more, and a hedge carried the request to another target meanwhile.

Change: a loss asks for test connections at once, also soon after a cleared suspicion, so the wait is a round trip. LostTargets.ALossIsTestedAtOnce*.

--- a/src/include/snipeworks/target_contact.h
+++ b/src/include/snipeworks/target_contact.h
@@ -48,8 +48,12 @@
                AttemptId attempt,
                bool responded,
                bool new_connection);
-  /// A connection to `target` could not be opened, or broke during a request.
+  /// A connection to `target` could not be opened.
   void OnConnectionFailed(Instant now, const std::string& target);
+  /// A connection to `target` broke during a request, and the target takes no
+  /// new one. Asks for test connections at once, unless another target
+  /// responds before the next Update.
+  void OnLoss(Instant now, const std::string& target);
   /// A test connection has ended.
   void OnTest(Instant now, bool reached);
 
@@ -90,6 +94,7 @@
   Instant next_test_at_{};
   Duration test_pause_{};  ///< Between a cleared suspicion and the next tests.
   std::size_t tests_running_ = 0;
+  bool loss_untested_ = false;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/contact_monitor.cpp
+++ b/src/libsnipeworks/contact_monitor.cpp
@@ -33,10 +33,11 @@
                                const AttemptOutcome& outcome) {
   const bool lost = outcome.status == AttemptStatus::kLost;
   contact_.OnEnded(now, attempt, HasResponded(outcome), outcome.new_connection);
-  if (outcome.connect_failed || lost) {
+  if (outcome.connect_failed) {
     contact_.OnConnectionFailed(now, target);
   }
   if (lost) {
+    contact_.OnLoss(now, target);
     unconfirmed_losses_.push_back({attempt, outcome, now});
   } else {
     hooks_.apply(attempt, outcome);
--- a/src/libsnipeworks/target_contact.cpp
+++ b/src/libsnipeworks/target_contact.cpp
@@ -68,7 +68,16 @@
   }
 }
 
+// The attempt that lost its connection counts as running until it is clear
+// whether its target has crashed: a hedge must not carry a request that crashes
+// targets to another one meanwhile.
+void TargetContact::OnLoss(Instant now, const std::string& target) {
+  OnConnectionFailed(now, target);
+  loss_untested_ = true;
+}
+
 void TargetContact::OnContact(Instant now) {
+  loss_untested_ = false;
   last_contact_ = now;
   overdue_targets_.clear();
 }
@@ -136,18 +145,20 @@
 
 void TargetContact::BeginTests(Instant now, std::size_t count) {
   tests_running_ = count;
+  loss_untested_ = false;
   next_test_at_ = now + kRecoveryTestInterval;
 }
 
 std::size_t TargetContact::Update(Instant now, std::size_t usable_targets) {
-  if (usable_targets == 0 || tests_running_ > 0 || now < next_test_at_) {
+  if (usable_targets == 0 || tests_running_ > 0 ||
+      (now < next_test_at_ && !loss_untested_)) {
     return 0;
   }
   if (state_ == ContactState::kLost) {
     BeginTests(now, std::min(kTestsOfRecovery, usable_targets));
     return tests_running_;
   }
-  if (!IsSuspicious(now, usable_targets)) {
+  if (!loss_untested_ && !IsSuspicious(now, usable_targets)) {
     if (now - next_test_at_ > kMaxTestPause) {
       test_pause_ = Duration{};
     }
--- a/src/libsnipeworks/target_contact_test.cpp
+++ b/src/libsnipeworks/target_contact_test.cpp
@@ -125,6 +125,22 @@
   }
 }
 
+TEST(LostTargets, ALossIsTestedAtOnceEvenAfterAClearedSuspicion) {
+  Host host;
+  host.RunFor(seconds(1), kAll, kAll);
+  for (int i = 0; i < 2; ++i) {
+    host.contact.OnLoss(host.now, TargetName(1));
+    const std::size_t count = host.contact.Update(host.now, kTargets);
+    EXPECT_GT(count, 0U);
+    for (std::size_t test = 0; test < count; ++test) {
+      host.contact.OnTest(host.now, true);
+    }
+    EXPECT_EQ(host.contact.last_contact(), host.now);
+    EXPECT_EQ(host.contact.state(), ContactState::kReached);
+    host.now += milliseconds(1);
+  }
+}
+
 // A fleet that has too few targets to tell a cut from their loss.
 TEST(LostTargets, AHostThatKnowsNoTargetTestsNothing) {
   TargetContact contact;
