--- a/testsuite/hosts_without_targets/run.py
+++ b/testsuite/hosts_without_targets/run.py
@@ -58,11 +58,11 @@
             if call.status != 200 or call.response_fault(deployment.groups)]
 
 
-def check_none_accused(deployment, kind):
-    """Requests in flight when their host lost its targets have crashed none."""
-    accused = [name for name in deployment.processes if name.startswith("entry")
+def check_none_suspected(deployment, kind):
+    """No host suspects the requests in flight at the hosts that lost their targets."""
+    suspecting = [name for name in deployment.processes if name.startswith("entry")
                and b'"event":"evidence"' in open(deployment.path(f"{name}.log"), "rb").read()]
-    check(not accused, f"{kind}: requests are suspected at {accused}")
+    check(not suspecting, f"{kind}: requests are suspected at {suspecting}")
 
 
 def check_served(deployment, kind, cut_hosts):
@@ -99,7 +99,7 @@
                 late = [call.duration_s for call in calls if call.duration_s > DEADLINE_MS / 2000]
                 check(not late, f"{kind}: no caller waits for the deadline: {late}")
         time.sleep(NOTICE_S)
-        check_none_accused(deployment, kind)
+        check_none_suspected(deployment, kind)
         check_served(deployment, kind, cut_hosts)
         for entry in cut_hosts:
             check(http("GET", f"{entry}:8001", "/ready", timeout=1.0)[0] == 200,
