--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -106,17 +107,20 @@
         self.machines.append(
             Machine(f"{role}-{i + 1}", role, f"{self.network}.{host}", zone, self.folder))
 
-    @staticmethod
-    def _free_network():
+    def _free_network(self):
         for third in range(40, 240):
             network = f"127.73.{third}"
+            # Held until close(), so that two cases that run at once use different addresses.
+            self.reservation = socket.socket()
             try:
+                self.reservation.bind((f"{network}.254", CONTROL_PORT))
                 for host in (1, 2, 3, 101, 102, 103):
                     for port in (CONTROL_PORT, FRONT_PORT, READY_PORT) + INTERNAL_PORTS:
                         with socket.socket() as probe:
                             probe.bind((f"{network}.{host}", port))
                 return network
             except OSError:
+                self.reservation.close()
                 continue
         raise Unable("no free loopback addresses")
 
@@ -229,7 +233,7 @@
 
     def close(self):
         self.closing = True
-        for server in self.servers:
+        for server in list(self.servers):
             server.close()
         for machine in self.machines:
             machine.wanted = False
@@ -242,6 +246,7 @@
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
+        self.reservation.close()
         self.record_file.close()
 
 
@@ -402,3 +407,19 @@
     result.update({"Service": service} if service else {})
     result.update(more)
     return result
+
+
+def run_case(script, judge, **options):
+    """Exits with what `judge(deployment)` returns, or with 2 if the case could not run."""
+    folder = os.path.dirname(os.path.abspath(script))
+    deployment = None
+    code = 2
+    try:
+        deployment = Deployment(os.path.join(folder, "record.txt"), **options)
+        code = judge(deployment)
+    except Exception as reason:  # pylint: disable=broad-except
+        print(f"could not run: {reason!r}", file=sys.stderr)
+    finally:
+        if deployment is not None:
+            deployment.close()
+    sys.exit(code)
