--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,7 +16,7 @@
 GARBLE_FROM_S, GARBLE_FOR_S = 2.0, 5.0
 SERVERS, GARBLING_SERVERS = 5, 3  # A share of 0.6.
 CLIENTS = 24
-GARBLED_SHARE = 0.04  # Of the answers of a server that garbles.
+GARBLED_SHARE = 0.03  # Of the answers of a server that garbles.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [2-5][0-9][0-9] ")
 
 
