--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -276,6 +276,7 @@
         self.state = "ready"
         self.closed = False
         self.beating = True
+        self.acknowledged = 0  # Heartbeats.
         self.ran = []  # (time, request id, method, target, body) of the requests that ran.
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -308,6 +309,7 @@
             for _ in self.deployment.controls if self.beating else []:
                 controls = self.deployment.controls
                 if self.heartbeat(controls[turn % len(controls)]) // 100 == 2:
+                    self.acknowledged += 1
                     break
                 turn += 1
             time.sleep(HEARTBEAT_MS / 1000)
