--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,67 +1,81 @@
-"""Heartbeats for a service that isn't configured put all servers of another service out of use."""
+"""After all processes have been killed, a server that had left is in use again.
+
+TROUBLE=0 leaves out the kill; the server's last heartbeat comes late all the same."""
 
 import json
 import os
+import signal
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from deployment import (  # noqa: E402
-    CONTROL_PORT, FRONT_PORT, HEARTBEAT_MS, Server, Unable, call, configuration, route, run_case)
+    BOUNDS, CONTROL_PORT, FRONT_PORT, Server, Unable, call, configuration, route, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REQUESTS = 200
-
-
-def keep_reporting(deployment, servers):
-    """Another writer, which lists the addresses of the servers as those of its own service."""
-    born = int(time.time() * 1000)
-
-    def loop():
-        sequence = 0
-        while not deployment.closing:
-            sequence += 1
-            for i, server in enumerate(servers):
-                body = json.dumps({
-                    "Service": "inventory", "Address": f"{server.ip}:{server.port}",
-                    "Zone": server.zone, "Version": "v1", "Slots": 1, "State": "ready",
-                    "ColdRemainingMs": 0, "Sequence": sequence, "born": born})
-                control = deployment.controls[sequence % len(deployment.controls)]
-                status, _, _ = call(control.ip, CONTROL_PORT, "POST",
-                                    f"/instances/inventory-{i}/heartbeat", body,
-                                    {"Content-Type": "application/json"}, 1)
-                deployment.record("foreign_heartbeat", to=control.name, status=status)
-            time.sleep(HEARTBEAT_MS / 1000)
-
-    threading.Thread(target=loop, daemon=True).start()
+DOWN_S = 1.0
+LATE_S = 5.0  # "A heartbeat may arrive seconds late."
+JSON = {"Content-Type": "application/json"}
 
 
 def judge(deployment):
     deployment.start()
     time.sleep(2)
-    ip = f"{deployment.network}.200"
-    servers = [Server(deployment, "orders", ip, 20000 + i, zone)
+    servers = [Server(deployment, "orders", f"{deployment.network}.200", 20000 + i, zone)
                for i, zone in enumerate(deployment.zones)]
-    if not deployment.replace(configuration(1, ["orders"], [route("r", "/orders/", "orders")])):
-        raise Unable("the configuration was not acknowledged")
-    time.sleep(1)
-    if TROUBLE:
-        keep_reporting(deployment, servers)
+    routes = [route("r", "/orders/", "orders")]
+    if not deployment.replace(configuration(1, ["orders"], routes)):
+        raise Unable("the first configuration was not acknowledged")
     deployment.wait_ready()
     time.sleep(6)
-    statuses = {}
-    for i in range(REQUESTS):
-        entry = deployment.entries[i % len(deployment.entries)]
-        status, _, body = call(
-            entry.ip, FRONT_PORT, "GET", f"/orders/{i}", None,
-            {"Host": "shop.example", "Request-Id": f"q{i:06d}", "Deadline-Ms": "2000"}, 3)
-        statuses[status] = statuses.get(status, 0) + 1
-        deployment.record("answered", id=f"q{i:06d}", status=status, body=body[:120])
-        time.sleep(0.05)
-    beats = {server.id: server.acknowledged for server in servers}
-    deployment.record("verdict", statuses=statuses, acknowledged_heartbeats=beats)
-    return 1 if statuses.get(200, 0) == 0 else 0
+
+    leaving = servers[0]
+    leaving.beating = False
+    time.sleep(1.3)
+    late = {"Service": "orders", "Address": f"{leaving.ip}:{leaving.port}", "Zone": leaving.zone,
+            "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 0,
+            "Sequence": leaving.sequence + 1, "born": leaving.born}
+    sent = time.monotonic()
+    status, _, _ = call(deployment.controls[0].ip, CONTROL_PORT, "POST",
+                        f"/instances/{leaving.id}/deregister",
+                        json.dumps({"Sequence": leaving.sequence + 2, "born": leaving.born}), JSON)
+    if status != 200:
+        raise Unable("the leave was not acknowledged")
+    left = deployment.now()
+    deployment.record("leave_acknowledged", server=leaving.id)
+    if not deployment.replace(configuration(2, ["orders"], routes)):
+        raise Unable("the second configuration was not acknowledged")
+    if TROUBLE:
+        for machine in deployment.machines:
+            deployment.signal(machine, signal.SIGKILL)
+        for machine in deployment.machines:
+            machine.process.wait()
+        time.sleep(DOWN_S)
+        for machine in deployment.machines:
+            deployment.launch(machine)
+    back = deployment.now()
+    deployment.wait_ready()
+
+    def deliver():
+        time.sleep(max(0, sent + LATE_S - time.monotonic()))
+        status, _, _ = call(deployment.controls[1].ip, CONTROL_PORT, "POST",
+                            f"/instances/{leaving.id}/heartbeat", json.dumps(late), JSON)
+        deployment.record("late_heartbeat", server=leaving.id, status=status)
+
+    threading.Thread(target=deliver).start()
+    count = 0
+    while deployment.now() < back + 16:
+        count += 1
+        entry = deployment.entries[count % len(deployment.entries)]
+        call(entry.ip, FRONT_PORT, "GET", f"/orders/{count}", None,
+             {"Host": "shop.example", "Request-Id": f"q{count:06d}", "Deadline-Ms": "1000"})
+        time.sleep(0.02)
+    # A final fault that takes most of the core: in touch after twice StabilityWindowMs.
+    from_s = max(left + BOUNDS["DrainMs"] / 1000, back + 2 * BOUNDS["StabilityWindowMs"] / 1000)
+    reached = [run for run in leaving.ran if run[0] > from_s]
+    deployment.record("verdict", reached_the_server_that_left=len(reached))
+    return 1 if reached else 0
 
 
 if __name__ == "__main__":
