--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -416,6 +416,7 @@
     folder = os.path.dirname(os.path.abspath(script))
     deployment = None
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the processes, too.
     try:
         deployment = Deployment(os.path.join(folder, "record.txt"), **options)
         code = judge(deployment)
