--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,8 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
-from deployment import FRONT_PORT, Server, Unable, configuration, route, run_case  # noqa: E402
+from deployment import (  # noqa: E402
+    FRONT_PORT, Server, Unable, configuration, route, run_case, run_clients)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 10
@@ -70,30 +71,19 @@
     for garbling in garblings:
         garbling.begin = time.monotonic() + GARBLE_FROM_S
 
-    def client(number):
-        entry = deployment.entries[number % len(deployment.entries)]
-        end = time.monotonic() + SECONDS
-        count = 0
-        while time.monotonic() < end:
-            count += 1
-            request_id = f"q{number:02d}{count:06d}"
-            received = first_bytes(entry.ip, (
-                f"POST /orders/{request_id} HTTP/1.1\r\nHost: shop.example\r\n"
-                f"Request-Id: {request_id}\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
-                "Content-Length: 3\r\n\r\none").encode())
-            with lock:
-                totals["requests"] += 1
-                if received and not STATUS_LINE.match(received):
-                    totals["no_answer_in_the_protocol"] += 1
-                    deployment.record("no_answer_in_the_protocol", id=request_id,
-                                      received=received[:200])
-            time.sleep(0.02)
+    def send(entry, request_id):
+        received = first_bytes(entry.ip, (
+            f"POST /orders/{request_id} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Request-Id: {request_id}\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
+            "Content-Length: 3\r\n\r\none").encode())
+        with lock:
+            totals["requests"] += 1
+            if received and not STATUS_LINE.match(received):
+                totals["no_answer_in_the_protocol"] += 1
+                deployment.record("no_answer_in_the_protocol", id=request_id,
+                                  received=received[:200])
 
-    clients = [threading.Thread(target=client, args=(i,)) for i in range(CLIENTS)]
-    for thread in clients:
-        thread.start()
-    for thread in clients:
-        thread.join()
+    run_clients(deployment, CLIENTS, SECONDS, send, pause_s=0.02)
     deployment.record("verdict", **totals)
     return 1 if totals["no_answer_in_the_protocol"] > 0 else 0
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -366,6 +367,41 @@
                         [("Request-Id", request.id), ("Server-Stamp", self.stamp(request))])
 
 
+class LateBytesServer(Server):
+    """Sends extra bytes after some of its answers, late: when the next request has come.
+
+    `extra(server, request)` returns the bytes that follow the answer to `request`."""
+
+    def __init__(self, *arguments, extra, share, **options):
+        self.extra, self.share = extra, share
+        self.from_s = self.until_s = 0.0
+        super().__init__(*arguments, **options)
+
+    def garble(self, after_s, for_s):
+        self.from_s = time.monotonic() + after_s
+        self.until_s = self.from_s + for_s
+
+    def _serve(self, connection):
+        choice = random.Random()
+        extra = b""
+        try:
+            with connection, connection.makefile("rb") as stream:
+                while not self.closed:
+                    request = read_request(stream)
+                    if request is None:
+                        return
+                    if extra:
+                        self.deployment.record("extra_bytes", server=self.id, before=request.id)
+                        connection.sendall(extra)
+                        extra = b""
+                    connection.sendall(self._answer(request))
+                    if self.from_s <= time.monotonic() < self.until_s \
+                            and choice.random() < self.share:
+                        extra = self.extra(self, request)
+        except OSError:
+            pass
+
+
 class Request:
     def __init__(self, method, target, headers, body):
         self.method, self.target, self.headers, self.body = method, target, headers, body
@@ -411,6 +447,30 @@
     return result
 
 
+def run_clients(deployment, clients, seconds, send, pause_s=0.0):
+    """Clients that each send one request after the other, by `send(entry, request_id)`."""
+    def client(number):
+        entry = deployment.entries[number % len(deployment.entries)]
+        end = time.monotonic() + seconds
+        count = 0
+        while time.monotonic() < end:
+            count += 1
+            send(entry, f"q{number:02d}{count:06d}")
+            time.sleep(pause_s)
+
+    threads = [threading.Thread(target=client, args=(i,)) for i in range(clients)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def order(entry, request_id):
+    """Sends a request of a non-idempotent route; returns (status, headers, body)."""
+    return call(entry.ip, FRONT_PORT, "POST", f"/orders/{request_id}", b"one drum head",
+                {"Host": "shop.example", "Request-Id": request_id, "Deadline-Ms": "2000"}, 3)
+
+
 def run_case(script, judge, **options):
     """Exits with what `judge(deployment)` returns, or with 2 if the case could not run."""
     folder = os.path.dirname(os.path.abspath(script))
