Check the names in reports where they enter

Cause: the name comes from the path and was taken as it is, while the body goes through the JSON parser, which refuses bytes that are not UTF-8. TargetView writes announcements as JSON for its digest, the writer throws on such bytes, and nothing between a callback of the event loop and main catches.

Change: Validate(Announcement) and ValidateName check names and address wherever a report, a leave or an announcement enters; the sender gets 400. The same cause on related paths: an address with a NUL character or names with CR and LF (into headers), the address of announcements of snipe-entry, groups and idempotency keys from paths and headers (into metric labels and bodies), /v1/faults of control hosts, numbers of writes in a damaged store. On disk and between hosts nothing changes; digests are computed from the same bytes.

OddEntries.WithNamesThatAreNotText and WithControlCharactersInTheBody cover the parser, Directories.TakeNamesThatAreNotTextFromOtherHosts what other hosts send.

--- a/src/include/snipeworks/announcement.h
+++ b/src/include/snipeworks/announcement.h
@@ -57,7 +57,15 @@
   friend auto operator<=>(const Announcement&, const Announcement&) = default;
 };
 
-/// Parses the JSON form. Fails with kBadRequest and the reason.
+/// Checks the name of a target, group or zone: at most 256 bytes of printable
+/// text. Fails with kBadRequest and the reason, which begins with `member`.
+Result<void> ValidateName(std::string_view member, std::string_view name);
+
+/// Checks the names and the address of an announcement, whichever way they came
+/// in. Fails with kBadRequest and the reason.
+Result<void> Validate(const Announcement& announcement);
+
+/// Parses and validates the JSON form. Fails with kBadRequest and the reason.
 Result<Announcement> ParseAnnouncement(std::string_view json);
 
 /// The JSON form, as targets post it.
--- a/src/include/snipeworks/history.h
+++ b/src/include/snipeworks/history.h
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/text.h"
+
 namespace snipeworks {
 
 /// Appends the events that a program observes to a file of JSON lines, for the
@@ -27,8 +29,7 @@
     if (!enabled()) {
       return;
     }
-    const std::string line =
-        event.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string line = WriteJson(event);
     const std::lock_guard lock(mutex_);
     file_ << line << std::endl;
   }
--- a/src/include/snipeworks/peer_transport.h
+++ b/src/include/snipeworks/peer_transport.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -58,6 +59,18 @@
   std::unique_ptr<Impl> impl_;
 };
 
+/// A simulated network partition from one process, for failure tests.
+struct PeerPartition {
+  std::string address;      ///< "IP:port".
+  bool partitioned = true;  ///< False ends it.
+
+  friend bool operator==(const PeerPartition&, const PeerPartition&) = default;
+};
+
+/// Parses {"address": "IP:port", "cut": true}; `cut` may be missing. Fails with
+/// kBadRequest.
+Result<PeerPartition> ParsePartition(std::string_view json_text);
+
 /// Calls other processes over one HTTP/2 connection to each. A call that times
 /// out closes its connection, because a silent connection may never recover.
 class PeerClient {
--- a/src/libsnipeworks/action_controller.cpp
+++ b/src/libsnipeworks/action_controller.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "snipeworks/poison_tracker.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -23,7 +24,7 @@
   for (const Hit& hit : outcome.hits) {
     hits.push_back({{"document", hit.document}, {"score", hit.score}});
   }
-  return nlohmann::json{{"result", std::move(hits)}}.dump();
+  return WriteJson({{"result", std::move(hits)}});
 }
 
 }  // namespace
--- a/src/libsnipeworks/address.cpp
+++ b/src/libsnipeworks/address.cpp
@@ -15,7 +15,9 @@
   Address address;
   address.ip = std::string(text.substr(0, colon));
   in_addr parsed{};
-  if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) {
+  // inet_pton reads up to a NUL character only.
+  if (address.ip.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) {
     return Fail(ErrorKind::kBadRequest,
                 "\"" + address.ip + "\": must be an IPv4 address");
   }
--- a/src/libsnipeworks/announcement.cpp
+++ b/src/libsnipeworks/announcement.cpp
@@ -2,7 +2,9 @@
 
 #include <set>
 
+#include "snipeworks/address.h"
 #include "snipeworks/json_reader.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -10,6 +12,7 @@
 
 namespace {
 
+constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kMaxSnapshots = 8;
 constexpr std::size_t kMaxParts = 4096;
 constexpr std::uint64_t kMaxSlots = 4096;
@@ -78,6 +81,39 @@
   return "gone";
 }
 
+Result<void> ValidateName(std::string_view member, std::string_view name) {
+  if (name.empty() || name.size() > kMaxNameBytes) {
+    return Fail(ErrorKind::kBadRequest,
+                std::string(member) + ": must have 1 to " +
+                    std::to_string(kMaxNameBytes) + " bytes");
+  }
+  if (!IsPrintable(name)) {
+    return Fail(
+        ErrorKind::kBadRequest,
+        std::string(member) + ": must be UTF-8 without control characters");
+  }
+  return {};
+}
+
+Result<void> Validate(const Announcement& announcement) {
+  for (const auto& [member, name] : {std::pair("target", &announcement.target),
+                                     std::pair("group", &announcement.group),
+                                     std::pair("zone", &announcement.zone)}) {
+    if (auto valid = ValidateName(member, *name); !valid) {
+      return valid;
+    }
+  }
+  for (const HeldSnapshot& held : announcement.snapshots) {
+    if (auto valid = ValidateName("digest", held.manifest.id.digest); !valid) {
+      return valid;
+    }
+  }
+  if (auto address = Address::Parse(announcement.address); !address) {
+    return Fail(ErrorKind::kBadRequest, "address: " + address.error().detail);
+  }
+  return {};
+}
+
 Result<Announcement> ParseAnnouncement(std::string_view text) {
   Result<json> document = ParseJson(text);
   if (!document) {
@@ -104,6 +140,9 @@
   if (!reader.ok()) {
     return Fail(ErrorKind::kBadRequest, reader.error());
   }
+  if (auto valid = Validate(result); !valid) {
+    return tl::unexpected(valid.error());
+  }
   return result;
 }
 
@@ -112,18 +151,17 @@
   for (const HeldSnapshot& held : announcement.snapshots) {
     snapshots.push_back(SnapshotJson(held));
   }
-  return json{{"target", announcement.target},
-              {"incarnation", announcement.incarnation},
-              {"sequence", announcement.sequence},
-              {"zone", announcement.zone},
-              {"address", announcement.address},
-              {"group", announcement.group},
-              {"state", ToString(announcement.state)},
-              {"slots", announcement.slots},
-              {"connections", announcement.connections},
-              {"queued", announcement.queued},
-              {"snapshots", std::move(snapshots)}}
-      .dump();
+  return WriteJson({{"target", announcement.target},
+                    {"incarnation", announcement.incarnation},
+                    {"sequence", announcement.sequence},
+                    {"zone", announcement.zone},
+                    {"address", announcement.address},
+                    {"group", announcement.group},
+                    {"state", ToString(announcement.state)},
+                    {"slots", announcement.slots},
+                    {"connections", announcement.connections},
+                    {"queued", announcement.queued},
+                    {"snapshots", std::move(snapshots)}});
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/caller_api.cpp
+++ b/src/libsnipeworks/caller_api.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "snipeworks/json_reader.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -71,7 +72,7 @@
   const std::string_view group =
       path.substr(kPrefix.size(), path.size() - kPrefix.size() - suffix.size());
   const bool valid = group.find('/') == std::string_view::npos &&
-                     group.size() <= kMaxNameBytes;
+                     group.size() <= kMaxNameBytes && IsPrintable(group);
   return valid ? std::string(group) : std::string();
 }
 
@@ -128,8 +129,7 @@
                            {"retry", answer.attempts.retry},
                            {"replacement", answer.attempts.replacement}}}};
   HttpResponse response;
-  response.body =
-      document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  response.body = WriteJson(document) + "\n";
   return response;
 }
 
@@ -158,8 +158,7 @@
                             ? std::to_string(rounded_up.count())
                             : std::to_string(fraction)});
   }
-  response.body =
-      document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  response.body = WriteJson(document) + "\n";
   return response;
 }
 
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -7,8 +7,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "snipeworks/address.h"
-
 namespace snipeworks {
 
 namespace {
@@ -231,6 +229,9 @@
 Result<LeaveRequest> ParseLeave(std::string target,
                                 std::string_view text,
                                 const ReportNames& names) {
+  if (auto valid = ValidateName("target", target); !valid) {
+    return tl::unexpected(valid.error());
+  }
   LeaveRequest leave;
   leave.target = std::move(target);
   // The name of the target is enough.
@@ -322,16 +323,12 @@
   } else if (state != names.serving) {
     reader.AddError(names.state, "is not a valid target state");
   }
-  if (reader.ok() && announcement.group.empty()) {
-    reader.AddError(names.group, "is empty");
-  }
-  if (auto address = Address::Parse(announcement.address);
-      reader.ok() && !address) {
-    reader.AddError(names.address, address.error().detail);
-  }
   if (!reader.ok()) {
     return Fail(ErrorKind::kBadRequest, reader.error());
   }
+  if (auto valid = Validate(announcement); !valid) {
+    return tl::unexpected(valid.error());
+  }
   return announcement;
 }
 
--- a/src/libsnipeworks/control_calls_test.cpp
+++ b/src/libsnipeworks/control_calls_test.cpp
@@ -70,6 +70,50 @@
   }
 }
 
+// A name that is not text ended the control hosts that it was reported to: it
+// reached the JSON writer from the path, unchecked.
+TEST(OddEntries, WithNamesThatAreNotText) {
+  const auto call_of = [](const std::string& name, const char* suffix) {
+    return DecodeControlCall(
+        PostOf("/v1/targets/" + name + suffix, Report("4")), ControlNames());
+  };
+  for (const char* name : {"t", "i-7f3a91c2", "k\xc3\xb6ln-\xe2\x82\xac",
+                           "\xf0\x9f\xa5\x81", "a%20b c"}) {
+    EXPECT_TRUE(call_of(name, "/report")) << name;
+    EXPECT_TRUE(call_of(name, "/leave")) << name;
+  }
+  for (const char* name :
+       {"i-\xff\xfe", "\x80", "a\xc3", "\xc3(", "\xc0\xaf", "\xe2\x82",
+        "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80", "a\x01",
+        "a\r\nX: y", "a\tb", "\x7f", "\xc2\x85"}) {
+    const auto report = call_of(name, "/report");
+    ASSERT_FALSE(report);
+    EXPECT_EQ(report.error().kind, ErrorKind::kBadRequest);
+    const auto leave = call_of(name, "/leave");
+    ASSERT_FALSE(leave);
+    EXPECT_EQ(leave.error().kind, ErrorKind::kBadRequest);
+  }
+  EXPECT_FALSE(call_of(std::string(257, 'a'), "/report"));
+}
+
+// Escapes in JSON reach control characters that the parser accepts.
+TEST(OddEntries, WithControlCharactersInTheBody) {
+  const auto is_valid = [](const std::string& group, const std::string& zone,
+                           const std::string& address) {
+    return ParseReport("t",
+                       R"({"state":"serving","sequence":1,"group":")" + group +
+                           R"(","zone":")" + zone + R"(","address":")" +
+                           address + "\"}",
+                       ReportNames())
+        .has_value();
+  };
+  EXPECT_TRUE(is_valid("g", "z", "10.0.0.1:80"));
+  EXPECT_FALSE(is_valid("g\\r\\nX: y", "z", "10.0.0.1:80"));
+  EXPECT_FALSE(is_valid("g", "z\\u0000", "10.0.0.1:80"));
+  EXPECT_FALSE(is_valid("g", "z", "10.0.0.1\\u0000\\r\\nX: y:80"));
+  EXPECT_FALSE(is_valid("g", "", "10.0.0.1:80"));
+}
+
 TEST(OddEntries, WithAddressesOutOfRange) {
   for (const char* address :
        {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999",
--- a/src/libsnipeworks/control_host_calls.cpp
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -6,6 +6,7 @@
 
 #include "snipeworks/caller_api.h"
 #include "snipeworks/compression.h"
+#include "snipeworks/text.h"
 
 // Calls made by targets and operators.
 
@@ -43,7 +44,7 @@
       {"members_committed", status.members_committed},
       {"claims", status.claims},
       {"members", std::move(members)}};
-  return document.dump() + "\n";
+  return WriteJson(document) + "\n";
 }
 
 }  // namespace
@@ -59,15 +60,12 @@
     return;
   }
   if (request.path == "/v1/faults" && settings_.allow_faults()) {
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
-    if (!body.is_object() || !body.contains("address")) {
-      http_->SendResponse(
-          exchange,
-          {400, "text/plain", "expected a JSON object with address and cut\n"});
+    const auto partition = ParsePartition(request.body);
+    if (!partition) {
+      AnswerError(exchange, partition.error());
       return;
     }
-    peers_.SetPartitioned(body["address"].get<std::string>(),
-                          body.value("cut", true));
+    peers_.SetPartitioned(partition->address, partition->partitioned);
     http_->SendResponse(exchange, {200, "text/plain", "ok\n"});
     return;
   }
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -14,6 +14,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/text.h"
+
 namespace snipeworks {
 
 namespace {
@@ -118,8 +120,7 @@
     out += text;
     out += '"';
   } else {
-    out += nlohmann::json(text).dump(-1, ' ', false,
-                                     nlohmann::json::error_handler_t::replace);
+    out += WriteJson(text);
   }
 }
 
--- a/src/libsnipeworks/peer_transport.cpp
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "http2_connection.h"
+#include "snipeworks/json_reader.h"
 
 namespace snipeworks {
 
@@ -368,6 +369,28 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+Result<PeerPartition> ParsePartition(std::string_view json_text) {
+  auto document = ParseJson(json_text);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  JsonReader reader(*document);
+  PeerPartition partition;
+  partition.address = reader.String("address");
+  if (reader.Has("cut")) {
+    const auto& cut = (*document)["cut"];
+    if (cut.is_boolean()) {
+      partition.partitioned = cut.get<bool>();
+    } else {
+      reader.AddError("cut", "must be true or false");
+    }
+  }
+  if (!reader.ok()) {
+    return Fail(ErrorKind::kBadRequest, reader.error());
+  }
+  return partition;
+}
+
 PeerClient::PeerClient(EventLoop& loop) : impl_(std::make_unique<Impl>(loop)) {}
 
 PeerClient::~PeerClient() = default;
--- a/src/libsnipeworks/rocks_log_store.cpp
+++ b/src/libsnipeworks/rocks_log_store.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <filesystem>
@@ -49,6 +50,14 @@
   return text.data();
 }
 
+// Returns the number of a write that `text` begins with; 0 if there is none.
+std::uint64_t ParseWriteNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() ? number : 0;
+}
+
 // Returns the highest number of a write in the write-ahead files of `folder`,
 // readable by RocksDB or not; 0 if there is none.
 std::uint64_t HighestMarkedWrite(const std::string& folder) {
@@ -67,7 +76,7 @@
       if (text.size() == 20 && std::ranges::all_of(text, [](char digit) {
             return digit >= '0' && digit <= '9';
           })) {
-        highest = std::max<std::uint64_t>(highest, std::stoull(text));
+        highest = std::max(highest, ParseWriteNumber(text));
       }
     }
   }
@@ -233,7 +242,9 @@
     const bool found =
         database.Get(rocksdb::ReadOptions(), kWriteKey, &value).ok() &&
         value.size() > kWriteMark.size();
-    return found ? std::stoull(value.substr(kWriteMark.size())) : 0;
+    return found ? ParseWriteNumber(
+                       std::string_view(value).substr(kWriteMark.size()))
+                 : 0;
   }
 
   // Reports an unreadable value as an error, not as a missing one.
--- a/src/libsnipeworks/target_directory_test.cpp
+++ b/src/libsnipeworks/target_directory_test.cpp
@@ -88,6 +88,13 @@
 
 // An address is reused by a target of another group while a report of the
 // previous target may still be in transit.
+// Another control host may have taken such a name from a path.
+TEST_F(Directories, TakeNamesThatAreNotTextFromOtherHosts) {
+  EXPECT_EQ(directory.Apply(now, MakeAnnouncement("i-\xff\xfe", 1, 1)),
+            AnnounceResult::kChange);
+  EXPECT_NE(directory.view().DigestOf("i-\xff\xfe"), 0U);
+}
+
 TEST_F(Directories, AssignAnAddressToItsMostRecentlyStartedTarget) {
   directory.Apply(now, MakeAnnouncement("old", 10, 50));
   Announcement next = MakeAnnouncement("next", 20, 1);
--- a/src/libsnipeworks/target_gateway.cpp
+++ b/src/libsnipeworks/target_gateway.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "snipeworks/target_protocol.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -144,7 +145,7 @@
   HttpCall call;
   call.address = running.command.address;
   call.path = path;
-  call.body = nlohmann::json{{"attempt", running.wire_id}}.dump();
+  call.body = WriteJson({{"attempt", running.wire_id}});
   call.timeout = kAttemptCallTimeout;
   // A probe must not reuse the connection that it checks.
   call.fresh_connection = path == std::string_view(kProbePath);
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "snipeworks/json_reader.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -69,7 +70,7 @@
   if (!request.idempotency_key.empty()) {
     document["idempotency_key"] = request.idempotency_key;
   }
-  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+  return WriteJson(document);
 }
 
 Result<RunRequest> ParseRunRequest(std::string_view text) {
@@ -113,7 +114,7 @@
     }
     document["hits"] = std::move(hits);
   }
-  return document.dump();
+  return WriteJson(document);
 }
 
 Result<RunAnswer> ParseRunAnswer(std::string_view text) {
--- a/src/libsnipeworks/trace.cpp
+++ b/src/libsnipeworks/trace.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/text.h"
+
 namespace snipeworks {
 
 using nlohmann::json;
@@ -110,8 +112,7 @@
        {{{"resource", resource},
          {"scopeSpans", {{{"spans", {std::move(body)}}}}}}}}};
   const std::lock_guard lock(mutex_);
-  file_ << document.dump(-1, ' ', false, json::error_handler_t::replace)
-        << std::endl;
+  file_ << WriteJson(document) << std::endl;
 }
 
 }  // namespace snipeworks
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -10,6 +10,7 @@
 #include "snipeworks/caller_api.h"
 #include "snipeworks/json_reader.h"
 #include "snipeworks/relay_messages.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -44,7 +45,7 @@
   document["ran"] = "yes";
   document["replayed"] = answer.replayed;
   HttpResponse response;
-  response.body = document.dump() + "\n";
+  response.body = WriteJson(document) + "\n";
   return response;
 }
 
@@ -63,7 +64,7 @@
     return Fail(ErrorKind::kBadRequest,
                 std::string(kCallerHeader) + ": is required");
   }
-  if (!KeyCreationSeconds(request.key)) {
+  if (!KeyCreationSeconds(request.key) || !IsPrintable(request.key)) {
     return Fail(ErrorKind::kBadRequest,
                 std::string(kIdempotencyKeyHeader) +
                     ": must be UNIX-SECONDS.TOKEN with a token of at "
@@ -336,7 +337,7 @@
                       {"waiting", gauges.waiting},
                       {"targets", std::move(targets)},
                       {"quarantined", std::move(quarantined)}};
-  return {200, "application/json", document.dump() + "\n", {}, false};
+  return {200, "application/json", WriteJson(document) + "\n", {}, false};
 }
 
 HttpResponse EntryApi::OnQuarantineRelease(const HttpRequest& http) {
@@ -371,17 +372,12 @@
     host_.SimulateCut(*cut);
     return TextResponse(200, "ok\n");
   }
-  JsonReader reader(*document);
-  const std::string address = reader.String("address");
-  if (!reader.ok()) {
-    return TextResponse(400, reader.error() + "\n");
-  }
-  const auto cut_field = document->find("cut");
-  if (cut_field != document->end() && !cut_field->is_boolean()) {
-    return TextResponse(400, "cut: must be true or false\n");
+  const auto partition = ParsePartition(http.body);
+  if (!partition) {
+    return snipeworks::ToHttpResponse(partition.error());
   }
-  const bool cut = cut_field == document->end() || cut_field->get<bool>();
-  host_.peer_client().SetPartitioned(address, cut);
+  host_.peer_client().SetPartitioned(partition->address,
+                                     partition->partitioned);
   return TextResponse(200, "ok\n");
 }
 
--- a/src/snipe-entry/entry_host.cpp
+++ b/src/snipe-entry/entry_host.cpp
@@ -323,7 +323,10 @@
   const std::string outcome =
       finish.result ? "ran"
                     : std::string(RowOf(finish.result.error().kind).name);
-  metrics_.OnAction(node.mapped().group, outcome.c_str());
+  // Group names come from callers; see EntryMetrics::OnSearch.
+  const std::string& group = node.mapped().group;
+  metrics_.OnAction(searches_.view().KnowsGroup(group) ? group : "",
+                    outcome.c_str());
   node.mapped().done(finish.result);
 }
 
--- a/src/snipe-target/simulated_target.cpp
+++ b/src/snipe-target/simulated_target.cpp
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "snipeworks/json_reader.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -33,7 +34,7 @@
 constexpr Duration kSilencePollInterval = milliseconds(100);
 
 HttpResponse JsonResponse(int status, const json& document) {
-  return {status, "application/json", document.dump() + "\n", {}, false};
+  return {status, "application/json", WriteJson(document) + "\n", {}, false};
 }
 
 Duration FromMilliseconds(double value) {
@@ -444,7 +445,7 @@
     Announcement changed = config_.announcement;
     json whole = json::parse(ToJson(changed));
     whole["snapshots"] = body["snapshots"];
-    auto reread = ParseAnnouncement(whole.dump());
+    auto reread = ParseAnnouncement(WriteJson(whole));
     if (!reread) {
       return JsonResponse(400, {{"error", reread.error().detail}});
     }
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -21,7 +21,8 @@
 
 class Deployment:
     def __init__(self, programs, controls=3, entries=2, zones=3, groups=4, network=31,
-                 slots=3, work_us=4000, folder=None, crash_on=None, entry_settings=None):
+                 slots=3, work_us=4000, folder=None, crash_on=None, entry_settings=None,
+                 control_settings=None):
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-forward-")
         self.network = network
@@ -36,6 +37,7 @@
         self.processes = {}
         self.version = 0
         self.entry_settings = entry_settings or {}
+        self.control_settings = control_settings or {}
         self.crash_on = crash_on  # If set, each target runs in its own process.
         self.proxies = []  # One in front of each target, if start() is given a proxy.
 
@@ -62,7 +64,7 @@
             name = f"control-{i + 1}"
             path = self.write_settings(
                 name, address, self.zones[i % len(self.zones)], first_start=True,
-                automatic_members=True, data_folder=self.path(name))
+                automatic_members=True, data_folder=self.path(name), **self.control_settings)
             self.launch(name, "snipe-control", "--settings", path)
         for i, address in enumerate(self.entries):
             name = f"entry-{i + 1}"
@@ -92,7 +94,8 @@
                  lambda: self.replace_routing(self.routes()) == 200, 20)
         for i, address in enumerate(self.controls):
             self.write_settings(f"control-{i + 1}", address, self.zones[i % len(self.zones)],
-                                automatic_members=True, data_folder=self.path(f"control-{i + 1}"))
+                                automatic_members=True, data_folder=self.path(f"control-{i + 1}"),
+                                **self.control_settings)
         for address in self.entries:
             wait_for(f"{address} is ready", lambda a=address: http(
                 "GET", f"{a}:8001", "/ready", timeout=1.0)[0] == 200, 20)
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -5,8 +5,9 @@
 Faults: processes are killed, paused and restarted, targets drain, control hosts lose their
 disk or cannot write to it, entry hosts lose all their targets (silently, with connections
 reset, or for new connections alone), and a loopback proxy delays, resets, stalls or blocks connections
-in one direction. Faults follow each other and overlap. The invariants, as seen by callers,
-targets and the operator:
+in one direction. Faults follow each other and overlap; meanwhile another writer reports targets with
+names that are no text. The invariants, as seen by callers, targets and the operator:
+  - no process ends by itself, and a report that cannot be read is refused;
   - a successful search over all shards returns the right records, from one version's shards;
   - a request that may run once never runs twice, and has not run if it was refused;
   - an acknowledged version is read back, and no older one later than 3 s after it;
@@ -31,6 +32,7 @@
 import forward
 from fleet import check, http, wait_for
 from forward import Call
+from raw_http import raw_call
 
 GRACE_S = 3.0  # A change or a drain must be in force after this time.
 
@@ -92,6 +94,7 @@
 class Soak:
     def __init__(self, deployment, seed, seconds):
         self.deployment = deployment
+        self.seed = seed
         self.random = random.Random(seed)
         # Separate, so that the faults do not depend on the pace of the operator.
         self.operator_random = random.Random(-seed)
@@ -178,9 +181,27 @@
                               "was acknowledged")
             time.sleep(self.operator_random.uniform(0.1, 0.6))
 
+    def run_other_writer(self):
+        """Reports targets whose names are not text."""
+        rng = random.Random(f"other writer {self.seed}")
+        report = json.dumps({"group": "part-1", "address": "127.0.0.1:9", "zone": "zone-1",
+                             "state": "serving", "sequence": 1, "incarnation": 1}).encode()
+        while time.time() < self.end:
+            name = b"\xff" + bytes(rng.choices(range(0x80, 0x100), k=rng.randint(1, 12)))
+            status = raw_call(f"{rng.choice(self.deployment.controls)}:8000", b"POST",
+                              b"/v1/targets/" + name + rng.choice([b"/report", b"/leave"]), report)
+            self.count("unreadable reports refused", 1 if status else 0)
+            if status and status // 100 != 4:
+                self.fail(f"a report of {name} got {status}")
+            for process in self.deployment.processes.values():
+                if not getattr(process, "under_fault", False) and not process.alive():
+                    self.fail(f"{process.name} has ended by itself")
+            time.sleep(rng.uniform(0.1, 0.5))
+
     def run(self):
         workers = [threading.Thread(target=self.run_caller, args=(i,)) for i in range(6)]
-        workers.append(threading.Thread(target=self.run_operator))
+        workers += [threading.Thread(target=self.run_operator),
+                    threading.Thread(target=self.run_other_writer)]
         for worker in workers:
             worker.start()
         pending = []
