Take only HTTP responses for answers of targets

Cause: what a response is was decided in several places by what each needed. http-parser reads statuses of one to three digits, skips blanks, and takes any version; nothing behind it asks again.

Change: decided once, where bytes of a target are read, for both host programs. StatusLineReader reads the status line before the parser (HTTP/1.x, three digits, 100 to 599 without 101), header names must be tokens; all else ends the call as kMalformed, so that the attempt has failed and a request that may run once has an unknown end. 204 and 304 have no body, trailers are no headers. The listener refuses header names that are no tokens (`Transfer-Encoding : chunked` was read as framing). Nothing changes on disk or between hosts.

--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -67,6 +67,8 @@
   kTimeout,  ///< Sent, but no response within the call's timeout.
   /// Sent, but the response exceeded HttpClientLimits.
   kTooLarge,
+  /// Sent, but the bytes received are no HTTP response.
+  kMalformed,
   kAborted,
 };
 
@@ -85,8 +87,6 @@
   bool connection_refused = false;
   /// True if a connection was tried and could not be opened.
   bool connect_failed = false;
-  /// True if the call failed because the bytes received are no valid response.
-  bool malformed = false;
 
   /// The value of header `name`, in any case, or empty.
   std::string_view Header(std::string_view name) const {
@@ -134,6 +134,7 @@
   HttpTrafficCounters other_zone;
   std::uint64_t connections_failed = 0;
   std::uint64_t answers_too_large = 0;
+  std::uint64_t answers_malformed = 0;
 
   std::uint64_t connections_opened() const {
     return own_zone.connections + other_zone.connections;
--- a/src/include/snipeworks/http_message.h
+++ b/src/include/snipeworks/http_message.h
@@ -20,6 +20,12 @@
 /// True if `a` and `b` are the same header name, ignoring case.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
+/// True if `name` is a valid header name: a token (RFC 9110, section 5.6.2).
+bool IsHeaderName(std::string_view name);
+
+/// True if `status` may end a request: 200 to 599.
+bool IsFinalStatus(int status);
+
 /// The value of the first header named `name`, or empty.
 std::string_view FindHeader(const std::vector<HttpHeader>& headers,
                             std::string_view name);
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -158,6 +158,10 @@
       AddGauge(registry,
                "snipeworks_target_answers_too_large",
                "Answers of targets that were given up for their size");
+  Gauge& answers_malformed =
+      AddGauge(registry,
+               "snipeworks_target_answers_malformed",
+               "Answers of targets that were no HTTP responses");
   Gauge& sent = AddGauge(registry,
                          "snipeworks_peer_sent_bytes",
                          "Bytes sent to other hosts of the system");
@@ -234,6 +238,8 @@
   impl_->targets_limited.Set(static_cast<double>(gauges.targets_limited));
   impl_->answers_too_large.Set(
       static_cast<double>(gauges.target_traffic.answers_too_large));
+  impl_->answers_malformed.Set(
+      static_cast<double>(gauges.target_traffic.answers_malformed));
   impl_->sent.Set(static_cast<double>(gauges.peer_traffic.bytes_sent));
   impl_->received.Set(static_cast<double>(gauges.peer_traffic.bytes_received));
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -169,8 +169,7 @@
   AttemptOutcome outcome;
   if (const auto status =
           UnansweredStatus(result.status, AttemptStatus::kFailed)) {
-    // A target that sends malformed bytes is alive.
-    outcome.status = result.malformed ? AttemptStatus::kFailed : *status;
+    outcome.status = *status;
     return outcome;
   }
   if (result.http_status != kMisdirectedStatus) {
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -54,6 +54,9 @@
     callbacks_.on_header_field = [](http_parser* parser, const char* at,
                                     std::size_t size) {
       HttpConnection& connection = ConnectionOf(parser);
+      if (connection.head_complete) {
+        return 0;  // A trailer field.
+      }
       auto& headers = connection.transfer->result.headers;
       if (headers.empty() || connection.value_seen) {
         headers.emplace_back();
@@ -67,17 +70,16 @@
     callbacks_.on_header_value = [](http_parser* parser, const char* at,
                                     std::size_t size) {
       HttpConnection& connection = ConnectionOf(parser);
+      if (connection.head_complete) {
+        return 0;
+      }
       connection.value_seen = true;
       connection.transfer->result.headers.back().value.append(at, size);
       AddBuffered(connection, size);
       return 0;
     };
     callbacks_.on_headers_complete = [](http_parser* parser) {
-      const HttpTransfer& transfer = *ConnectionOf(parser).transfer;
-      const bool is_head = transfer.call.shared_request
-                               ? transfer.call.shared_request->is_head_method
-                               : transfer.call.method == "HEAD";
-      return is_head ? 1 : 0;
+      return OnHeadComplete(ConnectionOf(parser));
     };
     callbacks_.on_body = [](http_parser* parser, const char* at,
                             std::size_t size) {
@@ -204,6 +206,7 @@
 
   static void ResetResult(HttpConnection& connection) {
     connection.value_seen = false;
+    connection.head_complete = false;
     OwnerOf(connection).ReleaseBuffered(*connection.transfer);
     HttpCallResult& result = connection.transfer->result;
     result.headers.clear();
@@ -211,18 +214,36 @@
     result.body.clear();
   }
 
-  // Returns 0 to continue parsing, unless too many responses were skipped.
+  // Returns 0 to read a body, 1 if the response has none, and -1 if the head is
+  // malformed.
+  static int OnHeadComplete(HttpConnection& connection) {
+    connection.head_complete = true;
+    const HttpTransfer& transfer = *connection.transfer;
+    if (!std::ranges::all_of(transfer.result.headers, IsHeaderName,
+                             &HttpHeader::name)) {
+      return -1;
+    }
+    const bool is_head = transfer.call.shared_request
+                             ? transfer.call.shared_request->is_head_method
+                             : transfer.call.method == "HEAD";
+    const unsigned status = connection.parser.status_code;
+    return is_head || status == HTTP_STATUS_NO_CONTENT ||
+                   status == HTTP_STATUS_NOT_MODIFIED
+               ? 1
+               : 0;
+  }
+
+  // Returns 0 to continue, unless too many responses were skipped.
   static int SkipResponse(HttpTransfer& transfer) {
     return ++transfer.skipped_responses > kMaxSkippedResponses ? 1 : 0;
   }
 
-  // Returns 0 to continue parsing after an interim response or one to another
-  // call.
+  // Pauses the parser after each response: one that is interim or answers
+  // another call is followed by the status line of the next.
   static int OnMessageComplete(HttpConnection& connection) {
-    const int status = static_cast<int>(connection.parser.status_code);
-    const bool interim = status >= 100 && status < 200 && status != 101;
+    http_parser_pause(&connection.parser, 1);
     HttpTransfer& transfer = *connection.transfer;
-    if (interim) {
+    if (!IsFinalStatus(static_cast<int>(connection.parser.status_code))) {
       return SkipResponse(transfer);
     }
     if (!http_should_keep_alive(&connection.parser)) {
@@ -239,7 +260,6 @@
       }
     }
     connection.response_complete = true;
-    http_parser_pause(&connection.parser, 1);
     return 0;
   }
 
@@ -393,6 +413,7 @@
     transfer.connection = &connection;
     transfer.result.reused_connection = connection.calls > 0;
     connection.transfer = &transfer;
+    connection.status_line.Reset();
     connection.response_complete = false;
     ++connection.calls;
     connection.write_buffer = Serialize(transfer.call);
@@ -426,6 +447,38 @@
              });
   }
 
+  struct ParsedBytes {
+    std::size_t count = 0;
+    bool malformed = false;
+  };
+
+  // Parses up to the end of the response to the call. The parser passes status
+  // lines that are none, so they are read first.
+  ParsedBytes Parse(HttpConnection& connection, std::string_view bytes) {
+    ParsedBytes parsed;
+    while (parsed.count < bytes.size() && !connection.response_complete) {
+      std::string_view piece = bytes.substr(parsed.count);
+      if (connection.status_line.state() == StatusLineReader::State::kReading) {
+        piece = piece.substr(0, connection.status_line.Read(piece));
+      }
+      if (connection.status_line.state() == StatusLineReader::State::kInvalid) {
+        parsed.malformed = true;
+        return parsed;
+      }
+      parsed.count += http_parser_execute(&connection.parser, &callbacks_,
+                                          piece.data(), piece.size());
+      const auto fault = HTTP_PARSER_ERRNO(&connection.parser);
+      if (fault == HPE_PAUSED) {
+        http_parser_pause(&connection.parser, 0);
+        connection.status_line.Reset();
+      } else if (fault != HPE_OK) {
+        parsed.malformed = true;
+        return parsed;
+      }
+    }
+    return parsed;
+  }
+
   void OnData(HttpConnection& connection, std::string_view bytes) {
     if (connection.transfer == nullptr) {
       // No call is in progress, so the bytes belong to none.
@@ -435,22 +488,18 @@
     HttpTransfer& transfer = *connection.transfer;
     transfer.received_bytes += bytes.size();
     CountersFor(transfer).received_bytes += bytes.size();
-    const std::size_t used = http_parser_execute(
-        &connection.parser, &callbacks_, bytes.data(), bytes.size());
+    const ParsedBytes parsed = Parse(connection, bytes);
     const bool too_large =
         transfer.received_bytes > limits_.max_response_bytes ||
         transfer.skipped_responses > kMaxSkippedResponses;
     if (connection.response_complete && !too_large) {
-      http_parser_pause(&connection.parser, 0);
-      const bool extra = used < bytes.size();
-      FinishCall(connection, extra);
+      FinishCall(connection, parsed.count < bytes.size());
       return;
     }
     if (too_large) {
       AbortOversizedResponse(transfer);
-    } else if (HTTP_PARSER_ERRNO(&connection.parser) != HPE_OK) {
-      transfer.result.malformed = true;
-      OnConnectionBroken(connection);
+    } else if (parsed.malformed) {
+      AbortMalformedResponse(transfer);
     }
     while (buffered_bytes_ > limits_.max_buffered_bytes) {
       AbortOversizedResponse(
@@ -471,6 +520,15 @@
     EndCallLater(transfer, HttpCallStatus::kTooLarge);
   }
 
+  // What the target has sent says nothing of whether the request has run.
+  void AbortMalformedResponse(HttpTransfer& transfer) {
+    ++traffic_.answers_malformed;
+    LOG_EVERY_T(WARNING, 1)
+        << "event=answer_malformed address=" << transfer.call.address
+        << " received=" << transfer.received_bytes;
+    EndCallLater(transfer, HttpCallStatus::kMalformed);
+  }
+
   // A response without a length ends with its connection, if the server closed
   // that without a reset.
   void OnEndOfStream(HttpConnection& connection, bool clean_close) {
@@ -660,7 +718,8 @@
   call.connect_timeout = timeout;
   Send(std::move(call), [done = std::move(done)](const HttpCallResult& result) {
     done(result.status == HttpCallStatus::kAnswered ||
-         result.status == HttpCallStatus::kLost);
+         result.status == HttpCallStatus::kLost ||
+         result.status == HttpCallStatus::kMalformed);
   });
 }
 
--- a/src/libsnipeworks/http_client_state.h
+++ b/src/libsnipeworks/http_client_state.h
@@ -14,6 +14,7 @@
 
 #include "snipeworks/clock.h"
 #include "snipeworks/http_client.h"
+#include "status_line.h"
 
 namespace snipeworks {
 
@@ -62,6 +63,7 @@
   uv_connect_t connect;
   uv_write_t write;
   http_parser parser;
+  StatusLineReader status_line;
   HttpConnectionPool* pool = nullptr;
   void* owner = nullptr;
   std::uint64_t generation = 0;
@@ -74,6 +76,7 @@
   bool closing = false;
   bool reusable = true;
   bool value_seen = false;
+  bool head_complete = false;  ///< Of the response that is being read.
   bool response_complete = false;
   bool cut = false;             ///< Silent in a simulated partition.
   bool counted_in_pool = true;  ///< Whether it counts in pool->open.
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -197,8 +197,9 @@
     bool closing = false;
     bool lingering = false;
     bool received_any = false;  // Any byte has been read.
-    int reject_status = 0;      // Status for a request that exceeds a limit.
-    Instant since{};            // Start of the request, idle or lingering time.
+    int reject_status = 0;      // Status for a request that is not read.
+    const char* reject_reason = nullptr;
+    Instant since{};  // Start of the request, idle or lingering time.
 
     bool IsIdle() const { return exchange == 0 && !in_request && !lingering; }
 
@@ -263,6 +264,13 @@
 
     int OnHeadersComplete() {
       in_body = true;
+      // Another server may trim such a name, and read another length from it.
+      if (!std::ranges::all_of(request.headers, IsHeaderName,
+                               &HttpHeader::name)) {
+        reject_status = kBadRequestStatus;
+        reject_reason = "a header name is malformed";
+        return -1;
+      }
       const bool has_length =
           parser.content_length != 0 &&
           parser.content_length != static_cast<std::uint64_t>(-1);
@@ -448,7 +456,10 @@
       status = fault == HPE_HEADER_OVERFLOW ? kHeadersTooLargeStatus
                                             : kBadRequestStatus;
     }
-    RejectRequest(connection, status, http_errno_description(fault));
+    RejectRequest(connection, status,
+                  connection.reject_reason != nullptr
+                      ? connection.reject_reason
+                      : http_errno_description(fault));
   }
 
   void RejectRequest(Connection& connection, int status, const char* reason) {
--- a/src/libsnipeworks/http_message.cpp
+++ b/src/libsnipeworks/http_message.cpp
@@ -16,6 +16,16 @@
     "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
     "Expect",     "Content-Length"};
 
+constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+
+bool IsTokenCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         kTokenPunctuation.find(c) != std::string_view::npos;
+}
+
 std::string_view Trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) {
@@ -30,6 +40,14 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
+bool IsHeaderName(std::string_view name) {
+  return !name.empty() && std::ranges::all_of(name, IsTokenCharacter);
+}
+
+bool IsFinalStatus(int status) {
+  return status >= kFirstFinalStatus && status <= kLastStatus;
+}
+
 std::string_view FindHeader(const std::vector<HttpHeader>& headers,
                             std::string_view name) {
   for (const HttpHeader& header : headers) {
--- a/src/libsnipeworks/request_relay.cpp
+++ b/src/libsnipeworks/request_relay.cpp
@@ -108,7 +108,7 @@
                         result.http_status == kOkStatus;
   auto reply =
       answered ? Decode<RelayReply>(result.body) : std::optional<RelayReply>();
-  if (!reply) {
+  if (!reply || (reply->accepted && !IsFinalStatus(reply->status))) {
     selector_.OnUnreachable(now, address);
     Finish(id, RelayStatus::kUnknown, {});
   } else if (reply->accepted) {
--- a/src/libsnipeworks/target_protocol.cpp
+++ b/src/libsnipeworks/target_protocol.cpp
@@ -167,6 +167,7 @@
     case HttpCallStatus::kTimeout:
       return on_timeout;
     case HttpCallStatus::kTooLarge:
+    case HttpCallStatus::kMalformed:  // The target is there.
       return AttemptStatus::kFailed;
     case HttpCallStatus::kAborted:
       return AttemptStatus::kCancelled;
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -10,7 +10,7 @@
 import signal
 import tempfile
 import time
-from http.client import HTTPConnection, HTTPException
+from http.client import BadStatusLine, HTTPConnection, HTTPException, RemoteDisconnected
 
 import fleet as fleet_module
 from fleet import Process, check, http, wait_for
@@ -198,6 +198,7 @@
         self.body, self.deadline_ms = body, deadline_ms
         self.connection = connection
         self.status, self.headers, self.response_body = 0, {}, b""
+        self.malformed = False  # The bytes received are no response.
         self.missing, self.signatures = None, []
         self.duration_s = 0.0
 
@@ -212,8 +213,10 @@
             response = connection.getresponse()
             self.response_body = response.read()
             self.status, self.headers = response.status, dict(response.getheaders())
-        except (OSError, HTTPException):
+        except (OSError, HTTPException) as reason:
             self.status = 0
+            self.malformed = isinstance(reason, BadStatusLine) and not isinstance(
+                reason, RemoteDisconnected)
             connection.close()
         self.duration_s = time.monotonic() - started
         if self.connection is None:
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -6,8 +6,10 @@
 disk or cannot write to it, entry hosts lose all their targets (silently, with connections
 reset, or for new connections alone), and a loopback proxy delays, resets, stalls or blocks connections
 in one direction. Faults follow each other and overlap; meanwhile another writer reports targets with
-names that are no text. The invariants, as seen by callers, targets and the operator:
+names that are no text, and some targets send status lines that are none. The invariants, as seen by
+callers, targets and the operator:
   - no process ends by itself, and a report that cannot be read is refused;
+  - a caller gets a response or none, never other bytes;
   - a successful search over all shards returns the right records, from one version's shards;
   - a request that may run once never runs twice, and has not run if it was refused;
   - an acknowledged version is read back, and no older one later than 3 s after it;
@@ -34,6 +36,7 @@
 from forward import Call
 from raw_http import raw_call
 
+MALFORMED_STATUS_LINES = [b"HTTP/1.1 20 ", b"HTTP/1.1 0200 ", b"HTTP/1.1 999 ", b"HTTP/1.1 2"]
 GRACE_S = 3.0  # A change or a drain must be in force after this time.
 
 
@@ -43,6 +46,7 @@
     def __init__(self, listen, forward_to):
         self.forward_to = forward_to
         self.mode = "pass"
+        self.garbled_share = 0.0  # Of the responses: their status line is none.
         self.pairs = []
         self.listener = socket.create_server(listen, backlog=128)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -74,6 +78,8 @@
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
+                if direction == "back" and random.random() < self.garbled_share:
+                    data = data.replace(b"HTTP/1.1 200 ", random.choice(MALFORMED_STATUS_LINES))
                 sink.sendall(data)
             except OSError:
                 for connection in (source, sink):
@@ -152,6 +158,8 @@
                 if fault:
                     self.fail(f"search {call.id} at {entry}: {fault}")
             self.count(f"status {call.status}")
+            if call.malformed:
+                self.fail(f"{call.id} at {entry}: the response is none")
             # The time during which the host was paused does not count.
             elapsed_s = call.duration_s - self.paused_seconds(entry, time.time() - call.duration_s)
             if elapsed_s > call.deadline_ms / 1000 + 1.0 and call.status:
@@ -198,10 +206,21 @@
                     self.fail(f"{process.name} has ended by itself")
             time.sleep(rng.uniform(0.1, 0.5))
 
+    def run_garbler(self):
+        """Lets one target after the other spoil some of its responses for a while."""
+        rng = random.Random(f"garbler {self.seed}")
+        while time.time() < self.end:
+            proxy = rng.choice(self.deployment.proxies)
+            proxy.garbled_share = rng.uniform(0.02, 0.2)
+            self.count("targets with garbled responses")
+            time.sleep(rng.uniform(0.3, 1.5))
+            proxy.garbled_share = 0.0
+
     def run(self):
         workers = [threading.Thread(target=self.run_caller, args=(i,)) for i in range(6)]
         workers += [threading.Thread(target=self.run_operator),
-                    threading.Thread(target=self.run_other_writer)]
+                    threading.Thread(target=self.run_other_writer),
+                    threading.Thread(target=self.run_garbler)]
         for worker in workers:
             worker.start()
         pending = []
