--- a/src/include/snipeworks/error.h
+++ b/src/include/snipeworks/error.h
@@ -17,6 +17,8 @@
 enum class ErrorKind {
   kBadRequest,
   kTooLarge,
+  kUnauthenticated,
+  kQuotaExceeded,
   kUnknownGroup,
   kUnknownRoute,
   kUnknownPath,
--- a/src/include/snipeworks/routing.h
+++ b/src/include/snipeworks/routing.h
@@ -48,6 +48,8 @@
   std::vector<std::string> shards;
   std::uint32_t top_records = 0;  ///< Records in an answer over all shards.
   double min_shard_share = 0.0;   ///< Minimum share of shards in an answer.
+  /// True if requests need no key of a customer.
+  bool is_public = false;
 
   friend auto operator<=>(const Route&, const Route&) = default;
 };
@@ -56,22 +58,52 @@
 auto WireFields(S& v) {
   return std::tie(v.name, v.host, v.path_prefix, v.repeatable, v.timeout_ms,
                   v.objective_ms, v.rank, v.max_attempts, v.groups, v.shards,
-                  v.top_records, v.min_shard_share);
+                  v.top_records, v.min_shard_share, v.is_public);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<Route> = 1;
+
 /// The operator's settings for a service group.
 struct GroupSpec {
   std::string name;
   std::string health_path;
   /// Connections to one target from all entry hosts together.
   std::uint32_t max_connections = 0;
+  /// Requests per second that a cold target tolerates from all entry hosts
+  /// together; 0 for no limit.
+  double cold_requests_per_second = 0.0;
+  /// How long a target stays cold after its start.
+  std::int64_t cold_start_ms = 0;
 
   friend auto operator<=>(const GroupSpec&, const GroupSpec&) = default;
 };
 
 template <SameStruct<GroupSpec> S>
 auto WireFields(S& v) {
-  return std::tie(v.name, v.health_path, v.max_connections);
+  return std::tie(v.name, v.health_path, v.max_connections,
+                  v.cold_requests_per_second, v.cold_start_ms);
+}
+
+template <>
+inline constexpr std::size_t kOptionalWireFields<GroupSpec> = 2;
+
+/// A customer whose requests are recognized by a key.
+struct Customer {
+  std::string name;
+  std::vector<std::string> keys;
+  std::uint32_t rank = 0;  ///< 0 is served first; goes before a route's rank.
+  /// Requests per second at all entry hosts together, and the burst beyond
+  /// them; 0 for no limit.
+  double requests_per_second = 0.0;
+  double burst = 0.0;
+
+  friend auto operator<=>(const Customer&, const Customer&) = default;
+};
+
+template <SameStruct<Customer> S>
+auto WireFields(S& v) {
+  return std::tie(v.name, v.keys, v.rank, v.requests_per_second, v.burst);
 }
 
 /// Limits on callers' requests and connections.
@@ -97,15 +129,19 @@
   std::vector<Route> routes;
   std::vector<GroupSpec> groups;
   CallerLimits limits;
+  std::vector<Customer> customers;
 
   friend auto operator<=>(const Routing&, const Routing&) = default;
 };
 
 template <SameStruct<Routing> S>
 auto WireFields(S& v) {
-  return std::tie(v.version, v.routes, v.groups, v.limits);
+  return std::tie(v.version, v.routes, v.groups, v.limits, v.customers);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<Routing> = 1;
+
 /// Rejects routes to no group or an unknown group, two routes with the same
 /// host name and path prefix, weights that add up to 0 and routes without a
 /// timeout. Fails with kBadRequest.
@@ -120,6 +156,8 @@
   std::vector<GroupSpec> groups;            ///< New or changed.
   std::vector<std::string> removed_groups;  ///< By name.
   CallerLimits limits;
+  std::vector<Customer> customers;             ///< New or changed.
+  std::vector<std::string> removed_customers;  ///< By name.
 
   friend auto operator<=>(const RoutingChange&, const RoutingChange&) = default;
 };
@@ -127,9 +165,12 @@
 template <SameStruct<RoutingChange> S>
 auto WireFields(S& v) {
   return std::tie(v.from, v.version, v.routes, v.removed_routes, v.groups,
-                  v.removed_groups, v.limits);
+                  v.removed_groups, v.limits, v.customers, v.removed_customers);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<RoutingChange> = 2;
+
 /// The change that turns `from` into `to`; nullopt if names are not unique.
 std::optional<RoutingChange> DiffRouting(const Routing& from,
                                          const Routing& to);
--- a/src/include/snipeworks/search.h
+++ b/src/include/snipeworks/search.h
@@ -44,6 +44,9 @@
   std::string query;
   std::string caller;
   RequestClass request_class = RequestClass::kNormal;
+  std::string customer;  ///< Whose key the request had; empty for none.
+  /// Goes before the class: 0 is served first.
+  std::uint32_t customer_rank = 0;
   std::optional<Duration> budget;  ///< As set by the caller.
   std::uint32_t limit = 10;        ///< Maximum number of hits.
   std::string trace_parent;        ///< W3C traceparent of the entry's span.
--- a/src/libsnipeworks/routing.cpp
+++ b/src/libsnipeworks/routing.cpp
@@ -126,10 +126,13 @@
   change.from = from.version;
   change.version = to.version;
   change.limits = to.limits;
-  const bool unique = CollectChanges(from.routes, to.routes, change.routes,
-                                     change.removed_routes) &&
-                      CollectChanges(from.groups, to.groups, change.groups,
-                                     change.removed_groups);
+  const bool unique =
+      CollectChanges(from.routes, to.routes, change.routes,
+                     change.removed_routes) &&
+      CollectChanges(from.groups, to.groups, change.groups,
+                     change.removed_groups) &&
+      CollectChanges(from.customers, to.customers, change.customers,
+                     change.removed_customers);
   return unique ? std::optional(std::move(change)) : std::nullopt;
 }
 
@@ -143,6 +146,7 @@
   changed.limits = change.limits;
   ApplyChanges(changed.routes, change.routes, change.removed_routes);
   ApplyChanges(changed.groups, change.groups, change.removed_groups);
+  ApplyChanges(changed.customers, change.customers, change.removed_customers);
   return changed;
 }
 
