Serve waiting parts in order of the customer's rank, then of the class

What callers saw: where customers with different priorities compete, the priority of a customer had no place; the class of the route alone decided who waits.

Change: Priority (customer rank, then class) in place of the class in the queue of parts and in the expected wait. Requests without a customer have rank 0, so their order and their waits are as before.

--- a/src/include/snipeworks/group_state.h
+++ b/src/include/snipeworks/group_state.h
@@ -56,19 +56,19 @@
   /// The time of the last request to this group.
   Instant used_at() const { return used_at_; }
 
-  /// An attempt of `request_class` was dispatched.
-  void OnDispatch(Instant now, RequestClass request_class);
+  /// An attempt of `priority` was dispatched.
+  void OnDispatch(Instant now, const Priority& priority);
   /// The queue in front of a part, for ExpectedWait.
   struct Backlog {
-    std::size_t ahead = 0;           ///< Parts ahead in the queue.
-    std::size_t ahead_in_class = 0;  ///< Those of the part's own class.
-    int capacity = 1;                ///< Concurrent attempts of its replicas.
-    std::size_t parts = 1;           ///< Parts of the snapshot.
+    std::size_t ahead = 0;              ///< Parts ahead in the queue.
+    std::size_t ahead_at_priority = 0;  ///< Those of the part's own priority.
+    int capacity = 1;       ///< Concurrent attempts of its replicas.
+    std::size_t parts = 1;  ///< Parts of the snapshot.
   };
 
   /// The expected waiting time of a part behind `backlog`.
   Duration ExpectedWait(Instant now,
-                        RequestClass request_class,
+                        const Priority& priority,
                         const Backlog& backlog);
 
   GroupPolicy policy;
@@ -88,7 +88,7 @@
   Instant backlog_since_{};
   Instant backlog_seen_at_{};
   DecayedRate dispatched_;
-  std::array<DecayedRate, kRequestClasses> dispatched_by_class_;
+  std::array<DecayedRate, kPriorityLevels> dispatched_by_level_;
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/part_queue.h
+++ b/src/include/snipeworks/part_queue.h
@@ -33,26 +33,25 @@
   friend auto operator<=>(const WaitingPart&, const WaitingPart&) = default;
 };
 
-/// Parts that wait in this host for a slot at a target, in order of class.
+/// Parts that wait in this host for a slot at a target, in order of priority.
 class PartQueue {
  public:
   /// Whether an offered part leaves the queue or finds every replica busy.
   enum class OfferResult { kDequeued, kBusy };
 
-  void Add(const PartKey& key, RequestClass request_class, WaitingPart waiting);
+  void Add(const PartKey& key, const Priority& priority, WaitingPart waiting);
 
   /// Calls `offer` with the parts waiting under `key`, most urgent first, until
   /// one finds every replica busy.
   void Drain(const PartKey& key,
              const std::function<OfferResult(const WaitingPart&)>& offer);
 
-  /// The number of parts under `key` that go before a new one of
-  /// `request_class`.
-  std::size_t CountAhead(const PartKey& key, RequestClass request_class) const;
+  /// The number of parts under `key` that go before a new one of `priority`.
+  std::size_t CountAhead(const PartKey& key, const Priority& priority) const;
 
-  /// The number of those that are of `request_class` itself.
-  std::size_t CountAheadInClass(const PartKey& key,
-                                RequestClass request_class) const;
+  /// The number of those that are of `priority` itself.
+  std::size_t CountAheadAtPriority(const PartKey& key,
+                                   const Priority& priority) const;
 
   /// True if no part waits under `key`.
   bool IsEmpty(const PartKey& key) const {
@@ -66,8 +65,8 @@
   std::size_t size() const { return size_; }
 
  private:
-  // The parts of one class in FIFO order.
-  class ClassQueue {
+  // The parts of one priority in FIFO order.
+  class LevelQueue {
    public:
     void Push(const WaitingPart& waiting) { parts_.push_back(waiting); }
     void Pop();
@@ -80,9 +79,9 @@
     std::size_t begin_ = 0;  ///< Index of the first part.
   };
 
-  using ClassQueues = std::array<ClassQueue, kRequestClasses>;
+  using LevelQueues = std::array<LevelQueue, kPriorityLevels>;
 
-  std::map<PartKey, ClassQueues> queues_;
+  std::map<PartKey, LevelQueues> queues_;
   std::size_t size_ = 0;
 };
 
--- a/src/include/snipeworks/search.h
+++ b/src/include/snipeworks/search.h
@@ -1,7 +1,9 @@
 #ifndef SNIPEWORKS_SEARCH_H_
 #define SNIPEWORKS_SEARCH_H_
 
+#include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -28,6 +30,28 @@
 /// The class with this name, or nothing if there is none.
 std::optional<RequestClass> ParseRequestClass(std::string_view name);
 
+/// Number of ranks of customers; larger ones count as the last.
+inline constexpr std::size_t kCustomerRanks = 3;
+
+/// The order in which requests are served: by the rank of the customer, then by
+/// class.
+struct Priority {
+  std::uint32_t customer_rank = 0;  ///< 0 is served first.
+  RequestClass request_class = RequestClass::kNormal;
+
+  /// A number below kPriorityLevels; smaller ones are served first.
+  std::size_t Level() const {
+    return std::min<std::size_t>(customer_rank, kCustomerRanks - 1) *
+               kRequestClasses +
+           static_cast<std::size_t>(request_class);
+  }
+
+  friend auto operator<=>(const Priority&, const Priority&) = default;
+};
+
+/// Number of levels of Priority.
+inline constexpr std::size_t kPriorityLevels = kCustomerRanks * kRequestClasses;
+
 /// The groups that a forwarded request is sent to: one part for each of
 /// `groups`. Any target of a group can run its part.
 struct SearchPlan {
@@ -57,6 +81,8 @@
   std::shared_ptr<const SearchPlan> plan;
   std::shared_ptr<const ForwardedRequest> forwarded;
 
+  Priority priority() const { return {customer_rank, request_class}; }
+
   friend bool operator==(const SearchRequest&, const SearchRequest&) = default;
 };
 
--- a/src/libsnipeworks/forward_load_test.cpp
+++ b/src/libsnipeworks/forward_load_test.cpp
@@ -396,6 +396,33 @@
   EXPECT_GE(gain, 0.2);
 }
 
+// Load pattern: customers of two ranks send normal and urgent requests that
+// together exceed the capacity. Without ranks, the urgent requests of the lower
+// rank went before the normal ones of the higher rank.
+TEST(ForwardLoad, CustomersOfALowerRankYieldToOthers) {
+  const auto replay = [](std::uint32_t rank) {
+    ModelFleet fleet(kSeed, 9, 3);
+    fleet.AddTargets(10, SteadyTarget());
+    ModelTraffic first;
+    first.plan = fleet.NewPlan(10, kModelObjective);
+    first.per_second = 0.7 * kModelCapacity;
+    ModelTraffic second = first;
+    second.request_class = RequestClass::kUrgent;
+    second.customer_rank = rank;
+    return fleet.Replay({first, second}, seconds(8));
+  };
+  const auto ranked = replay(1);
+  Print("first rank", ranked[0]);
+  Print("second rank, urgent", ranked[1]);
+  const auto before = replay(0);
+  Print("without ranks", before[0]);
+  EXPECT_GE(ranked[0].utility, 0.85);
+  EXPECT_GE(ranked[0].utility, before[0].utility + 0.2);
+  // The lower rank still gets what is left, so it is not starved.
+  EXPECT_GE(ranked[1].in_time + ranked[1].late, ranked[1].requests / 4);
+  EXPECT_LE(ranked[0].worst_budget_use, 1.0);
+}
+
 // Load pattern: one of nine entry hosts gets half of all requests.
 TEST(ForwardLoad, SkewedEntryHostsStayWithinTheFleetBudget) {
   const auto replay = [](double share, std::int64_t hedges_after) {
--- a/src/libsnipeworks/group_state.cpp
+++ b/src/libsnipeworks/group_state.cpp
@@ -123,17 +123,17 @@
   shed_share_ += kShedWeight * (shed - shed_share_);
 }
 
-void GroupState::OnDispatch(Instant now, RequestClass request_class) {
+void GroupState::OnDispatch(Instant now, const Priority& priority) {
   dispatched_.Add(now);
-  dispatched_by_class_[static_cast<std::size_t>(request_class)].Add(now);
+  dispatched_by_level_[priority.Level()].Add(now);
 }
 
 // An older queue drains at the recent dispatch rate: other hosts use the same
 // targets, so the rate is a better estimate than the capacity of the replicas.
-// More urgent classes are expected to keep their recent rate; a class to which
+// More urgent priorities are expected to keep their recent rate; one to which
 // they leave nothing is assumed to get a small share.
 Duration GroupState::ExpectedWait(Instant now,
-                                  RequestClass request_class,
+                                  const Priority& priority,
                                   const Backlog& backlog) {
   if (now - backlog_seen_at_ > kMaxBacklogGap) {
     backlog_since_ = now;
@@ -147,13 +147,14 @@
   }
   const double all = std::max(kMinDispatchRate, dispatched_.PerSecond(now));
   double more_urgent = 0.0;
-  for (std::size_t i = 0; i < static_cast<std::size_t>(request_class); ++i) {
-    more_urgent += dispatched_by_class_[i].PerSecond(now);
+  for (std::size_t i = 0; i < priority.Level(); ++i) {
+    more_urgent += dispatched_by_level_[i].PerSecond(now);
   }
   const double own = std::max(all * kMinClassShare, all - more_urgent);
   const double seconds =
       static_cast<double>(backlog.parts) *
-      std::max(ahead / all, static_cast<double>(backlog.ahead_in_class) / own);
+      std::max(ahead / all,
+               static_cast<double>(backlog.ahead_at_priority) / own);
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
--- a/src/libsnipeworks/model_fleet_test.h
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -284,6 +284,7 @@
     request.group = traffic.plan->name;
     request.plan = traffic.plan;
     request.request_class = traffic.request_class;
+    request.customer_rank = traffic.customer_rank;
     request.budget = traffic.deadline - (now_ - caller_attempt.first_at);
     auto forwarded = std::make_shared<ForwardedRequest>();
     forwarded->fingerprint = request.id;
--- a/src/libsnipeworks/model_traffic_test.h
+++ b/src/libsnipeworks/model_traffic_test.h
@@ -18,6 +18,7 @@
   std::shared_ptr<const SearchPlan> plan;
   double per_second = 0.0;
   RequestClass request_class = RequestClass::kNormal;
+  std::uint32_t customer_rank = 0;
   Duration deadline = std::chrono::milliseconds(1500);
   /// Maximum number of attempts that a caller makes until one is answered.
   std::size_t tries = 1;
--- a/src/libsnipeworks/part_queue.cpp
+++ b/src/libsnipeworks/part_queue.cpp
@@ -5,7 +5,7 @@
 
 namespace snipeworks {
 
-void PartQueue::ClassQueue::Pop() {
+void PartQueue::LevelQueue::Pop() {
   ++begin_;
   if (begin_ * 2 > parts_.size()) {
     parts_.erase(parts_.begin(),
@@ -15,9 +15,9 @@
 }
 
 void PartQueue::Add(const PartKey& key,
-                    RequestClass request_class,
+                    const Priority& priority,
                     WaitingPart waiting) {
-  queues_[key][static_cast<std::size_t>(request_class)].Push(waiting);
+  queues_[key][priority.Level()].Push(waiting);
   ++size_;
 }
 
@@ -48,31 +48,29 @@
 std::vector<PartKey> PartQueue::Keys() const {
   std::vector<PartKey> keys;
   keys.reserve(queues_.size());
-  for (const auto& [key, class_queues] : queues_) {
+  for (const auto& [key, level_queues] : queues_) {
     keys.push_back(key);
   }
   return keys;
 }
 
 std::size_t PartQueue::CountAhead(const PartKey& key,
-                                  RequestClass request_class) const {
+                                  const Priority& priority) const {
   auto found = queues_.find(key);
   if (found == queues_.end()) {
     return 0;
   }
   std::size_t ahead = 0;
-  for (std::size_t i = 0; i <= static_cast<std::size_t>(request_class); ++i) {
+  for (std::size_t i = 0; i <= priority.Level(); ++i) {
     ahead += found->second[i].size();
   }
   return ahead;
 }
 
-std::size_t PartQueue::CountAheadInClass(const PartKey& key,
-                                         RequestClass request_class) const {
+std::size_t PartQueue::CountAheadAtPriority(const PartKey& key,
+                                            const Priority& priority) const {
   auto found = queues_.find(key);
-  return found == queues_.end()
-             ? 0
-             : found->second[static_cast<std::size_t>(request_class)].size();
+  return found == queues_.end() ? 0 : found->second[priority.Level()].size();
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/request_filters.cpp
+++ b/src/libsnipeworks/request_filters.cpp
@@ -103,12 +103,12 @@
 std::vector<Duration> AdmissionFilter::ExpectedWaits(
     const SearchContext& context) const {
   const PinnedSnapshot& snapshot = *context.snapshot;
-  const RequestClass request_class = context.request.request_class;
+  const Priority priority = context.request.priority();
   std::vector<Duration> waits(snapshot.replicas.size());
   for (std::size_t i = 0; i < waits.size(); ++i) {
     const PartKey key = PartKeyOf(context.request, snapshot, i);
     GroupState::Backlog backlog;
-    backlog.ahead = queue_.CountAhead(key, request_class);
+    backlog.ahead = queue_.CountAhead(key, priority);
     if (selector_.any_limited()) {
       waits[i] =
           selector_.LimitWait(context.now, snapshot.replicas[i], backlog.ahead);
@@ -116,11 +116,11 @@
     if (backlog.ahead == 0) {
       continue;
     }
-    backlog.ahead_in_class = queue_.CountAheadInClass(key, request_class);
+    backlog.ahead_at_priority = queue_.CountAheadAtPriority(key, priority);
     backlog.capacity = Capacity(context.now, snapshot.replicas[i]);
     backlog.parts = waits.size();
-    waits[i] = std::max(waits[i], context.group->ExpectedWait(
-                                      context.now, request_class, backlog));
+    waits[i] = std::max(
+        waits[i], context.group->ExpectedWait(context.now, priority, backlog));
   }
   return waits;
 }
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -140,7 +140,7 @@
                            AttemptKind kind) {
   search.parts()[part_index].status = PartStatus::kQueued;
   const PartKey key = search.PartKeyOf(part_index);
-  queue_.Add(key, search.request().request_class,
+  queue_.Add(key, search.request().priority(),
              {search.request().id, part_index, kind});
   ready_keys_.insert(key);
 }
@@ -253,7 +253,7 @@
   part.tried.push_back(target.target);
   ++part.possibly_run_attempts;
   selector_.Stats(target.target)->OnStart(now);
-  group.OnDispatch(now, search.request().request_class);
+  group.OnDispatch(now, search.request().priority());
   switch (kind) {
     case AttemptKind::kPrimary:
       ++search.attempts.primary;
