Read the serving targets from the control hosts' disks after a loss of power

Change: with target_snapshot_interval_ms a control host writes the serving targets to its disk when the set has changed, on a thread of its own, with a checksum; after a start it takes them for serving until their leases end. Reports, other hosts and departures in the log go before the file.

--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -88,6 +88,8 @@
   void Answer(ExchangeId exchange, const std::string& body);
   void AnswerError(ExchangeId exchange, const Error& error);
 
+  void RestoreTargets();
+  void SaveTargets();
   void Tick();
   void AfterEventBatch();
   void DetectStall();
@@ -115,6 +117,8 @@
   std::multimap<LogIndex, PendingProposal> pending_proposals_;
   /// The newest settings version that each entry host has reported.
   std::map<std::string, std::uint64_t> settings_version_by_host_;
+  bool saving_targets_ = false;
+  std::uint64_t saved_targets_digest_ = 0;  ///< See ServingDigest.
   Instant next_reopen_at_{};
   Instant last_current_at_{};  ///< When this host last knew of a quorum.
   Instant last_iteration_at_{};
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -49,6 +49,9 @@
   Departure OnLeave(const LeaveRequest& leave, std::int64_t wall_ms);
   /// Applies a departure that the log has.
   void OnDeparted(const Departure& departure);
+  /// Takes targets that this host knew before its restart for serving until
+  /// their leases end. Reports and what other hosts know go before them.
+  void Restore(const std::vector<Announcement>& targets);
   void OnWatch(const std::string& payload, const PeerServer::Reply& reply);
   void OnGossip(const std::string& payload, const PeerServer::Reply& reply);
   void OnConditions(const std::string& payload, const PeerServer::Reply& reply);
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -26,6 +26,7 @@
   kControlRegained,
   kRoutingInForce,
   kTargetChanged,
+  kTargetsRestored,
   kFleetSize,
   kConditions,
   kRequest,
--- a/src/include/snipeworks/event_loop.h
+++ b/src/include/snipeworks/event_loop.h
@@ -31,6 +31,9 @@
   void After(Duration delay, Task task);
   /// Runs `task` at each `interval` until the loop stops.
   void Every(Duration interval, Task task);
+  /// Runs `work` on another thread and then `done` on the loop. For calls that
+  /// block, such as those that wait for a disk.
+  void RunBlocking(Task work, Task done);
   /// Runs `task` on the loop when the process gets `signal`.
   void OnSignal(int signal, Task task);
 
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -65,6 +65,11 @@
   /// Number of control hosts whose disks may be lost at the same time. Silent
   /// voters are removed only while enough voters for this remain.
   std::uint32_t tolerated_losses() const { return tolerated_losses_; }
+  /// How often a control host saves the serving targets to its disk if they
+  /// have changed; zero: never.
+  Duration target_snapshot_interval() const {
+    return target_snapshot_interval_;
+  }
   /// Interval between a target's reports; a target that misses several is
   /// considered gone.
   Duration report_interval() const { return report_interval_; }
@@ -96,6 +101,7 @@
   bool first_start_ = false;
   bool automatic_members_ = false;
   std::uint32_t tolerated_losses_ = 1;
+  Duration target_snapshot_interval_{};
   Duration report_interval_ = std::chrono::seconds(1);
   Duration shutdown_limit_ = std::chrono::seconds(65);
   Duration answer_margin_{};
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -230,6 +230,11 @@
   last_current_at_ = last_iteration_at_;
   leader_known_at_ = last_iteration_at_;
   no_leader_logged_at_ = last_iteration_at_;
+  RestoreTargets();
+  if (settings_.target_snapshot_interval() > Duration{}) {
+    loop_.Every(settings_.target_snapshot_interval(),
+                [this] { SaveTargets(); });
+  }
   loop_.Every(kTickInterval, [this] { Tick(); });
   loop_.Every(kMembershipTickInterval, [this] { membership_.Tick(); });
   loop_.AfterEventBatch([this] { AfterEventBatch(); });
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -106,6 +106,15 @@
   }
 }
 
+// Not propagated at once: each control host restores its own, and after the
+// loss of all of them these are the same targets.
+void ControlMembership::Restore(const std::vector<Announcement>& targets) {
+  const Instant now = MonotonicNow();
+  for (const Announcement& target : targets) {
+    directory_.Apply(now, target);
+  }
+}
+
 void ControlMembership::Propagate(const Announcement& announcement) {
   for (auto& [address, peer] : other_hosts_) {
     peer.heartbeats.erase(announcement.target);
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -46,6 +46,8 @@
              "a version of the routes is in force on this host"},
     EventRow{EventKind::kTargetChanged, "target_changed", false,
              "what the host believes of a target has changed"},
+    EventRow{EventKind::kTargetsRestored, "targets_restored", true,
+             "a control host has read the serving targets from its disk"},
     EventRow{EventKind::kFleetSize, "fleet_size", true,
              "the number of entry hosts that share budgets has changed"},
     EventRow{EventKind::kConditions, "conditions", false,
--- a/src/libsnipeworks/event_loop.cpp
+++ b/src/libsnipeworks/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/event_loop.h"
 
 #include <algorithm>
+#include <memory>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -29,6 +30,12 @@
   EventLoop::Task task;
 };
 
+struct BlockingTask {
+  uv_work_t request;
+  EventLoop::Task work;
+  EventLoop::Task done;
+};
+
 void DeleteTimer(uv_handle_t* handle) {
   delete static_cast<TimerTask*>(handle->data);
 }
@@ -158,6 +165,21 @@
   uv_stop(impl_->loop());
 }
 
+void EventLoop::RunBlocking(Task work, Task done) {
+  auto* task = new BlockingTask{{}, std::move(work), std::move(done)};
+  task->request.data = task;
+  uv_queue_work(
+      raw(), &task->request,
+      [](uv_work_t* request) {
+        static_cast<BlockingTask*>(request->data)->work();
+      },
+      [](uv_work_t* request, int) {
+        const std::unique_ptr<BlockingTask> task(
+            static_cast<BlockingTask*>(request->data));
+        task->done();
+      });
+}
+
 void EventLoop::Post(Task task) {
   impl_->Post(std::move(task));
 }
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kMaxShutdownHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
 
-constexpr std::array<std::string_view, 21> kSettingNames = {
+constexpr std::array<std::string_view, 22> kSettingNames = {
     "host",
     "zone",
     "http",
@@ -33,6 +33,7 @@
     "first_start",
     "automatic_members",
     "report_interval_ms",
+    "target_snapshot_interval_ms",
     "shutdown_limit_ms",
     "answer_margin_ms",
     "tolerated_losses",
@@ -168,6 +169,8 @@
       reader.UnsignedOr("tolerated_losses", 1, 0, 3));
   settings.report_interval_ =
       ReadMilliseconds(reader, "report_interval_ms", settings.report_interval_);
+  settings.target_snapshot_interval_ =
+      ReadMilliseconds(reader, "target_snapshot_interval_ms", Duration{});
   settings.shutdown_limit_ =
       ReadMilliseconds(reader, "shutdown_limit_ms", settings.shutdown_limit_);
   settings.answer_margin_ =
