Authorize requests by customers' keys; name customers to targets

What callers saw: a routing document with customers was accepted and its customers, public routes and cold limits ignored: any request was served, with any key or none, and keys went on to targets.

Cause: nothing read these fields.

Change: ParseRouting reads and validates customers, public routes, cold limits (400 for shared keys or names, and for names and keys that cannot stand in a header; the reason has no key). Authorize returns a customer, none, 401 or, where RoutingContact says that the host may be behind, 503. A host that was frozen refuses known keys until a control host has replied to a later call. ForwardHost sets SearchRequest::customer and customer_rank; targets get the name in a header that callers cannot set, and no Authorization while there are customers. Relayed requests carry both in optional fields. Folded headers get 400, trailers are dropped.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -15,6 +15,7 @@
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/poison_tracker.h"
 #include "snipeworks/routing.h"
+#include "snipeworks/routing_contact.h"
 
 namespace snipeworks {
 
@@ -71,6 +72,7 @@
   /// True if a control host that is in contact with a leader with a
   /// quorum answered recently.
   bool quorum_reachable(Instant now) const;
+  RoutingFreshness routing_freshness(Instant now) const;
   /// True if a control host of this zone answered recently.
   bool zone_reachable(Instant now) const;
   /// Number of control hosts that answered recently.
@@ -100,7 +102,9 @@
   void Watch(const std::string& address, Source& source, bool preferred);
   void ReportConditions(Instant now, const std::string& address);
   void SendEvidence(Instant now, const std::string& address, Source& source);
-  void OnReply(const std::string& address, const PeerResult& result);
+  void OnReply(const std::string& address,
+               Instant sent,
+               const PeerResult& result);
   void ApplyRouting(const WatchReply& reply);
   void CheckDigest(Instant now, Source& source, const WatchReply& reply);
 
@@ -112,6 +116,7 @@
   Handlers handlers_;
   std::map<std::string, Source> sources_;
   Routing routing_;  ///< In force; version 0 if there is none.
+  RoutingContact routing_contact_;
   std::uint64_t newest_seen_version_ = 0;
   Instant newest_seen_at_{};
   std::uint64_t control_digest_ = 0;
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -27,7 +27,11 @@
   bool cut_off = false;       ///< No other zone can be reached.
   bool targets_lost = false;  ///< No target can be reached.
   std::uint64_t relayed = 0;  ///< Requests that other hosts were asked to run.
-  std::uint64_t relayed_here = 0;  ///< Requests run for other hosts.
+  std::uint64_t relayed_here = 0;     ///< Requests run for other hosts.
+  std::size_t customers = 0;          ///< In the routing in force.
+  std::uint64_t unauthenticated = 0;  ///< Requests refused for their keys.
+  /// Requests refused as a newer routing could have their keys.
+  std::uint64_t unconfirmed_keys = 0;
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
   std::size_t control_hosts = 0;  ///< That answered recently.
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -10,6 +10,7 @@
 
 #include "snipeworks/contact_monitor.h"
 #include "snipeworks/control_feed.h"
+#include "snipeworks/customer_directory.h"
 #include "snipeworks/entry_metrics.h"
 #include "snipeworks/event_log.h"
 #include "snipeworks/event_loop.h"
@@ -89,6 +90,7 @@
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
               const Error& error);
+  void CountUnauthorized(const Error& error);
   void AfterEventBatch();
   void SetNextTimer();
   void Execute(const SearchAction& action);
@@ -118,6 +120,8 @@
   ForwardNames names_;
   EventLog log_;
   Random random_;
+  std::uint64_t key_seed_;
+  CustomerDirectory customers_;  ///< Of the routing in force.
   EntryMetrics metrics_;
   SearchController searches_;
   ForwardPlanner planner_;
@@ -140,6 +144,9 @@
   std::uint64_t successes_ = 0;
   std::uint64_t relayed_ = 0;
   std::uint64_t relayed_here_ = 0;
+  std::uint64_t unauthenticated_ = 0;  ///< Requests refused for their keys.
+  /// Requests refused as a newer routing could have their keys.
+  std::uint64_t unconfirmed_keys_ = 0;
   Instant started_{};
   Instant last_event_batch_at_{};
   Instant next_traffic_log_{};
--- a/src/include/snipeworks/forward_message.h
+++ b/src/include/snipeworks/forward_message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "snipeworks/forwarded_request.h"
 #include "snipeworks/http_message.h"
@@ -19,12 +20,22 @@
   bool is_head_method = false;    ///< The request is a HEAD request.
 };
 
+/// Whose request is forwarded.
+struct ForwardedIdentity {
+  std::string customer;  ///< Empty for none.
+  /// True if the routing has customers: the request's key, and anything that
+  /// may be one, stays on this host.
+  bool strip_authorization = false;
+};
+
 /// The part of `request` that is the same for every target; the deadline and
 /// the target's name are added for each attempt. Moves the body and strips the
-/// headers of the connection from `request`.
+/// headers of the connection from `request`. The customer named in the headers
+/// is replaced by that of `identity`.
 std::shared_ptr<const ForwardedRequest> ToForwardedRequest(
     HttpRequest& request,
-    const ForwardNames& names);
+    const ForwardNames& names,
+    const ForwardedIdentity& identity = {});
 
 /// The response to the caller of `request`.
 HttpResponse ToResponse(const SearchAnswer& answer,
--- a/src/include/snipeworks/protocol_names.h
+++ b/src/include/snipeworks/protocol_names.h
@@ -31,6 +31,12 @@
   std::string part_signatures = "Snipe-Part-Signatures";
   /// Number of shards missing from an answer.
   std::string missing_parts = "Snipe-Parts-Missing";
+  /// Name of the customer that sent the request, set by the entry host.
+  std::string customer = "Snipe-Customer";
+  /// Carries `key_scheme`, a blank and a customer's key; never passed on while
+  /// the routing has customers.
+  std::string authorization = "Authorization";
+  std::string key_scheme = "Token";
   /// Path of the load balancer's readiness check.
   std::string ready_path = "/ready";
 };
@@ -54,14 +60,23 @@
   std::string max_attempts = "max_attempts";
   std::string top_records = "top_records";
   std::string min_shard_share = "min_shard_share";
+  std::string is_public = "public";
   std::string groups = "groups";
   std::string health_path = "health_path";
   std::string max_connections = "max_connections";
+  /// Requests per second that a cold target tolerates, and seconds that it
+  /// stays cold.
+  std::string cold_requests_per_second = "cold_requests_per_s";
+  std::string cold_start_s = "cold_start_s";
   std::string limits = "limits";
   std::string max_header_bytes = "max_header_bytes";
   std::string max_body_bytes = "max_body_bytes";
   std::string header_timeout_ms = "header_timeout_ms";
   std::string idle_timeout_ms = "idle_timeout_ms";
+  std::string customers = "customers";
+  std::string keys = "keys";
+  std::string requests_per_second = "requests_per_s";
+  std::string burst = "burst";
 };
 
 /// Field names of a target's report on its own state.
--- a/src/include/snipeworks/relay_messages.h
+++ b/src/include/snipeworks/relay_messages.h
@@ -1,6 +1,7 @@
 #ifndef SNIPEWORKS_RELAY_MESSAGES_H_
 #define SNIPEWORKS_RELAY_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -55,6 +56,8 @@
   std::string head;  ///< See SharedRequest.
   std::string body;
   bool is_head_method = false;
+  std::string customer;  ///< Empty for none.
+  std::uint32_t customer_rank = 0;
 };
 
 template <SameStruct<RelayedForward> S>
@@ -62,9 +65,12 @@
   return std::tie(v.origin, v.plan_name, v.plan_version, v.groups, v.policy,
                   v.request_class, v.repeatable, v.budget_us, v.top_records,
                   v.pass_through, v.request_id, v.fingerprint, v.head, v.body,
-                  v.is_head_method);
+                  v.is_head_method, v.customer, v.customer_rank);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<RelayedForward> = 2;
+
 /// A caller's request to `snipe-entry`.
 struct RelayedCall {
   std::string origin;  ///< Host name, for the log.
--- a/src/include/snipeworks/routing.h
+++ b/src/include/snipeworks/routing.h
@@ -143,8 +143,10 @@
 inline constexpr std::size_t kOptionalWireFields<Routing> = 1;
 
 /// Rejects routes to no group or an unknown group, two routes with the same
-/// host name and path prefix, weights that add up to 0 and routes without a
-/// timeout. Fails with kBadRequest.
+/// host name and path prefix, weights that add up to 0, routes without a
+/// timeout, customers with the same name or key, and names and keys of
+/// customers that cannot stand in a header. Fails with kBadRequest; the reason
+/// contains no key.
 Result<void> Validate(const Routing& routing);
 
 /// The difference between two versions.
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -20,6 +20,9 @@
 // A parsed value takes up to a hundred bytes, many times its text.
 constexpr std::size_t kMaxValues = 500'000;
 constexpr std::size_t kMaxNesting = 32;
+constexpr double kMillisPerSecond = 1000.0;
+// Keeps the time in milliseconds an exact integer.
+constexpr double kMaxColdSeconds = kMaxExactInteger / kMillisPerSecond;
 
 // Reads typed members of one JSON object and keeps the first error.
 class MemberReader {
@@ -65,6 +68,30 @@
     return value->get<double>();
   }
 
+  bool BoolOr(const std::string& name, bool fallback) {
+    const json* value = Find(name);
+    if (value == nullptr) {
+      return fallback;
+    }
+    if (!value->is_boolean()) {
+      AddError(name, "must be true or false");
+      return fallback;
+    }
+    return value->get<bool>();
+  }
+
+  std::vector<std::string> StringsOr(const std::string& name) {
+    std::vector<std::string> strings;
+    for (const json& item : ArrayOr(name)) {
+      if (!item.is_string()) {
+        AddError(name, "must be an array of strings");
+        break;
+      }
+      strings.push_back(item.get<std::string>());
+    }
+    return strings;
+  }
+
   std::uint64_t UnsignedOr(const std::string& name, std::uint64_t fallback) {
     const json* value = Find(name);
     if (value != nullptr && value->is_number_unsigned()) {
@@ -188,13 +215,8 @@
         {weighted.String(names.group), weighted.Unsigned32Or(names.weight, 1)});
     reader.AddErrorFrom(weighted);
   }
-  for (const json& item : reader.ArrayOr(names.shards)) {
-    if (!item.is_string()) {
-      reader.AddError(names.shards, "must be an array of strings");
-      break;
-    }
-    route.shards.push_back(item.get<std::string>());
-  }
+  route.shards = reader.StringsOr(names.shards);
+  route.is_public = reader.BoolOr(names.is_public, false);
   outer.AddErrorFrom(reader);
   return route;
 }
@@ -207,10 +229,29 @@
   group.name = reader.String(names.name);
   group.health_path = reader.StringOr(names.health_path, "");
   group.max_connections = reader.Unsigned32Or(names.max_connections, 0);
+  group.cold_requests_per_second =
+      reader.NumberOr(names.cold_requests_per_second, 0.0);
+  group.cold_start_ms = std::llround(
+      std::min(reader.NumberOr(names.cold_start_s, 0.0), kMaxColdSeconds) *
+      kMillisPerSecond);
   outer.AddErrorFrom(reader);
   return group;
 }
 
+Customer ReadCustomer(const json& value,
+                      const RoutingNames& names,
+                      MemberReader& outer) {
+  MemberReader reader(value, names.customers + ".");
+  Customer customer;
+  customer.name = reader.StringOr(names.name, "");
+  customer.keys = reader.StringsOr(names.keys);
+  customer.rank = reader.Unsigned32Or(names.rank, 0);
+  customer.requests_per_second = reader.NumberOr(names.requests_per_second, 0);
+  customer.burst = reader.NumberOr(names.burst, 0);
+  outer.AddErrorFrom(reader);
+  return customer;
+}
+
 CallerLimits ReadLimits(const json& value,
                         const RoutingNames& names,
                         MemberReader& outer) {
@@ -288,6 +329,9 @@
   for (const json& item : reader.ArrayOr(names.groups)) {
     routing.groups.push_back(ReadGroup(item, names, reader));
   }
+  for (const json& item : reader.ArrayOr(names.customers)) {
+    routing.customers.push_back(ReadCustomer(item, names, reader));
+  }
   if (const json* limits = reader.Find(names.limits)) {
     routing.limits = ReadLimits(*limits, names, reader);
   }
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -82,6 +82,11 @@
   });
 }
 
+RoutingFreshness ControlFeed::routing_freshness(Instant now) const {
+  return routing_contact_.Freshness(now,
+                                    newest_seen_version_ > routing_.version);
+}
+
 bool ControlFeed::zone_reachable(Instant now) const {
   return std::ranges::any_of(sources_, [&](const auto& entry) {
     const Source& source = entry.second;
@@ -95,6 +100,7 @@
 // recovers is found.
 void ControlFeed::Tick() {
   const Instant now = MonotonicNow();
+  routing_contact_.OnActive(now);
   std::vector<std::pair<int, std::string>> ranked;
   for (const auto& [address, source] : sources_) {
     const bool connected =
@@ -206,15 +212,18 @@
   request.control_digest = control_digest_;
   request.condition_serial = source.condition_serial;
   request.evidence_serial = source.evidence_serial;
-  request.known_current = source.current;
+  // A control host replies at once if it judges its contact otherwise.
+  request.known_current = source.current && !routing_contact_.IsResuming(now);
   request.relay_address = relay_address_;
   request.relay_digest = relay_digest_;
-  peers_.Call(
-      address, kControlWatchPath, Encode(request), kWatchTimeout,
-      [this, address](const PeerResult& result) { OnReply(address, result); });
+  peers_.Call(address, kControlWatchPath, Encode(request), kWatchTimeout,
+              [this, address, now](const PeerResult& result) {
+                OnReply(address, now, result);
+              });
 }
 
 void ControlFeed::OnReply(const std::string& address,
+                          Instant sent,
                           const PeerResult& result) {
   Source& source = sources_[address];
   const Instant now = MonotonicNow();
@@ -239,6 +248,9 @@
   source.last_answer_at = now;
   source.zone = reply->zone;
   source.current = reply->current;
+  if (reply->current) {
+    routing_contact_.OnCurrentReply(sent, now);
+  }
   // A restarted control host knows only what it is sent: a late report must not
   // bring back a target that has drained.
   if (source.epoch != 0 && source.epoch != reply->epoch) {
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -121,6 +121,17 @@
   Gauge& relayed_here = AddGauge(registry,
                                  "snipeworks_requests_relayed_here",
                                  "Requests run for other entry hosts");
+  Gauge& customers = AddGauge(registry,
+                              "snipeworks_customers",
+                              "Customers in the routing in force here");
+  Gauge& unauthenticated =
+      AddGauge(registry,
+               "snipeworks_requests_unauthenticated",
+               "Requests refused as they had no known key");
+  Gauge& unconfirmed_keys =
+      AddGauge(registry,
+               "snipeworks_requests_key_unconfirmed",
+               "Requests refused as newer keys may not be known here");
   Gauge& log_lines =
       AddGauge(registry, "snipeworks_log_lines", "Event lines written");
   Gauge& log_lines_dropped = AddGauge(registry,
@@ -227,6 +238,9 @@
   impl_->targets_lost.Set(gauges.targets_lost ? 1.0 : 0.0);
   impl_->relayed.Set(static_cast<double>(gauges.relayed));
   impl_->relayed_here.Set(static_cast<double>(gauges.relayed_here));
+  impl_->customers.Set(static_cast<double>(gauges.customers));
+  impl_->unauthenticated.Set(static_cast<double>(gauges.unauthenticated));
+  impl_->unconfirmed_keys.Set(static_cast<double>(gauges.unconfirmed_keys));
   impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -3,7 +3,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
 #include <random>
 #include <utility>
 
@@ -11,7 +10,6 @@
 
 #include "snipeworks/caller_api.h"
 #include "snipeworks/relay_messages.h"
-#include "snipeworks/shutdown_admission.h"
 #include "snipeworks/target_directory.h"
 #include "snipeworks/target_events.h"
 
@@ -24,20 +22,10 @@
 constexpr Duration kMaxTimerInterval = milliseconds(20);
 // A longer gap between two iterations of the event loop is logged.
 constexpr Duration kStallThreshold = milliseconds(1000);
-constexpr Duration kNotReadyRetryAfter = milliseconds(300);
-// After a power failure the control hosts start, elect a leader and distribute
-// the routes within about this time; a caller that retries sooner is refused
-// again.
-constexpr Duration kTypicalStartup = milliseconds(800);
 constexpr Duration kIdleCheckInterval = milliseconds(50);
 // Time before the shutdown limit at which open requests are answered with an
 // error, so that these answers are still sent.
 constexpr Duration kFinalAnswerMargin = milliseconds(400);
-// Retry-After of a request that comes too late in a stop: callers' new
-// connections already go to other hosts.
-constexpr Duration kShutdownRetryAfter = milliseconds(10);
-// No other host that is known serves either: time for one to regain targets.
-constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
 // Of a relayed request, besides the caller's headers and body.
 constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
 constexpr char kFaultsPath[] = "/v1/faults";
@@ -63,14 +51,10 @@
   return seeds;
 }
 
-std::optional<Duration> ReadDeadline(std::string_view text) {
-  std::int64_t millis = 0;
-  const auto [end, parse_error] =
-      std::from_chars(text.data(), text.data() + text.size(), millis);
-  if (parse_error != std::errc() || end == text.data() || millis <= 0) {
-    return std::nullopt;
-  }
-  return milliseconds(millis);
+std::uint64_t RandomSeed() {
+  std::random_device random;
+  constexpr int kHalf = 32;
+  return std::uint64_t{random()} << kHalf | random();
 }
 
 ListenerLimits ToListenerLimits(const CallerLimits& limits) {
@@ -107,6 +91,7 @@
       names_(std::move(names)),
       log_(STDOUT_FILENO, settings_.host()),
       random_(std::random_device()()),
+      key_seed_(RandomSeed()),
       searches_(ControllerConfig(settings_)),
       planner_(settings_.policy(), settings_.answer_margin(), random_.Next()),
       peers_(loop),
@@ -291,116 +276,6 @@
   log_.Flush();
 }
 
-void ForwardHost::OnRequest(ExchangeId exchange, HttpRequest request) {
-  const Instant now = MonotonicNow();
-  if (planner_.table() == nullptr) {
-    Reject(exchange, request,
-           {ErrorKind::kNotReady, "no routes are known yet",
-            std::max(kNotReadyRetryAfter, kTypicalStartup - (now - started_))});
-    return;
-  }
-  const Route* route =
-      planner_.table()->Find(request.Header("Host"), request.path);
-  if (route == nullptr) {
-    Reject(exchange, request,
-           {ErrorKind::kUnknownRoute,
-            "no route matches the host name and path",
-            {}});
-    return;
-  }
-  auto plan = planner_.Plan(*route);
-  if (draining_ && !HasTimeToRun(final_answers_at_ - now,
-                                 searches_.SlowLatency(plan->name))) {
-    Reject(exchange, request,
-           {ErrorKind::kNotReady, "this host is shutting down",
-            kShutdownRetryAfter});
-    return;
-  }
-  if (reachability_.cut_off() && !ZoneCanServe(now, *plan)) {
-    Reject(
-        exchange, request,
-        {ErrorKind::kNotReady, "this host cannot reach the other zones",
-         reachability_.RetryAfter(now, feed_.zone_reachable(now),
-                                  milliseconds(settings_.shutdown_hold_ms()))});
-    return;
-  }
-  if (contact_.state() == ContactState::kLost && !MayRelay(now)) {
-    Reject(exchange, request,
-           {ErrorKind::kNotReady, "this host reaches no target",
-            kTargetsLostRetryAfter});
-    return;
-  }
-  const Duration timeout = milliseconds(route->timeout_ms);
-  RunningRequest running;
-  running.request.id = next_request_++;
-  running.request.request_class = ClassOfRank(route->rank);
-  running.request.repeatable = route->repeatable;
-  running.request.budget = std::min(
-      timeout,
-      ReadDeadline(request.Header(names_.deadline_ms)).value_or(timeout));
-  running.request.plan = std::move(plan);
-  running.request.group = running.request.plan->name;
-  running.exchange = exchange;
-  running.format.top_records = route->top_records;
-  running.format.pass_through = route->shards.empty();
-  running.format.is_head_method = request.method == "HEAD";
-  running.started = now;
-  running.request.forwarded = ToForwardedRequest(request, names_);
-  requests_by_exchange_[exchange] = running.request.id;
-  if (MayRelay(now)) {
-    Relay(std::move(running), 0);
-  } else {
-    Run(std::move(running));
-  }
-}
-
-void ForwardHost::Run(RunningRequest running) {
-  const Instant now = MonotonicNow();
-  SearchRequest submitted = running.request;
-  submitted.budget = *submitted.budget - (now - running.started);
-  const RequestId id = submitted.id;
-  running_[id] = std::move(running);
-  searches_.Submit(now, submitted);
-}
-
-void ForwardHost::Reject(ExchangeId exchange,
-                         const HttpRequest& request,
-                         const Error& error) {
-  HttpResponse response =
-      ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
-  // Makes the load balancer route the caller's next connection to another host.
-  response.close = response.close || reachability_.cut_off() ||
-                   contact_.state() == ContactState::kLost;
-  log_.Write(EventKind::kRequestRejected,
-             {{"request", request.Header(names_.request_id)},
-              {"reason", RowOf(error.kind).name},
-              {"detail", error.detail},
-              {"http_host", request.Header("Host")},
-              {"path", request.path},
-              {"status", response.status},
-              {"routing_version", feed_.routing_version()}});
-  front_->SendResponse(exchange, response);
-}
-
-void ForwardHost::OnCallerDisconnected(ExchangeId exchange) {
-  auto node = requests_by_exchange_.extract(exchange);
-  if (node.empty()) {
-    return;
-  }
-  auto running = running_.extract(node.mapped());
-  if (!running.empty()) {
-    const RunningRequest& disconnected = running.mapped();
-    if (disconnected.relay) {
-      relay_.Cancel(*disconnected.relay);
-    }
-    log_.Write(EventKind::kCallerGone,
-               {{"request", disconnected.request.forwarded->request_id},
-                {"route", disconnected.request.group},
-                {"after_ms", MonotonicNow() - disconnected.started}});
-  }
-  searches_.OnCallerDisconnected(MonotonicNow(), node.mapped());
-}
-
 void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
   const Instant now = MonotonicNow();
   for (const Announcement& announcement : changes) {
@@ -450,7 +325,9 @@
 
 void ForwardHost::OnRouting(const Routing& routing) {
   log_.Write(EventKind::kRoutingInForce,
-             {{"version", routing.version}, {"routes", routing.routes.size()}});
+             {{"version", routing.version},
+              {"routes", routing.routes.size()},
+              {"customers", routing.customers.size()}});
   for (const GroupSpec& group : routing.groups) {
     if (group.max_connections > 0) {
       searches_.SetConnectionLimit(group.name, group.max_connections);
@@ -459,7 +336,10 @@
   const ListenerLimits limits = ToListenerLimits(routing.limits);
   front_->SetLimits(limits);
   relay_listener_->SetLimits(RelayListenerLimits(limits));
-  planner_.SetRouting(routing);
+  customers_ = CustomerDirectory(routing.customers, key_seed_);
+  // The planner needs no customers: their keys take the most memory.
+  planner_.SetRouting(
+      {routing.version, routing.routes, routing.groups, routing.limits, {}});
 }
 
 void ForwardHost::SetNextTimer() {
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -147,6 +147,9 @@
   gauges.targets_lost = contact_.state() == ContactState::kLost;
   gauges.relayed = relayed_;
   gauges.relayed_here = relayed_here_;
+  gauges.customers = customers_.customers().size();
+  gauges.unauthenticated = unauthenticated_;
+  gauges.unconfirmed_keys = unconfirmed_keys_;
   gauges.log_lines = log_.lines();
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -53,6 +53,8 @@
   message.head = request.forwarded->message->head;
   message.body = request.forwarded->message->body;
   message.is_head_method = format.is_head_method;
+  message.customer = request.customer;
+  message.customer_rank = request.customer_rank;
   return message;
 }
 
@@ -60,6 +62,8 @@
   SearchRequest request;
   request.request_class = ClassOfRank(static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, message.request_class)));
+  request.customer = std::move(message.customer);
+  request.customer_rank = message.customer_rank;
   request.repeatable = message.repeatable;
   request.budget = Duration(message.budget_us);
   auto plan = std::make_shared<SearchPlan>();
--- /dev/null
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -0,0 +1,179 @@
+// Callers' requests, from arrival to the search core.
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "snipeworks/caller_api.h"
+#include "snipeworks/forward_host.h"
+#include "snipeworks/request_authorization.h"
+#include "snipeworks/shutdown_admission.h"
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kNotReadyRetryAfter = milliseconds(300);
+// After a power failure the control hosts start, elect a leader and distribute
+// the routes within about this time; a caller that retries sooner is refused
+// again.
+constexpr Duration kTypicalStartup = milliseconds(800);
+// Retry-After of a request that comes too late in a stop: callers' new
+// connections already go to other hosts.
+constexpr Duration kShutdownRetryAfter = milliseconds(10);
+// No other host that is known serves either: time for one to regain targets.
+constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
+// Customers' ranks beyond it are the same.
+constexpr std::uint32_t kLowestRank = 2;
+
+std::optional<Duration> ReadDeadline(std::string_view text) {
+  std::int64_t millis = 0;
+  const auto [end, parse_error] =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (parse_error != std::errc() || end == text.data() || millis <= 0) {
+    return std::nullopt;
+  }
+  return milliseconds(millis);
+}
+
+}  // namespace
+
+void ForwardHost::OnRequest(ExchangeId exchange, HttpRequest request) {
+  const Instant now = MonotonicNow();
+  if (planner_.table() == nullptr) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "no routes are known yet",
+            std::max(kNotReadyRetryAfter, kTypicalStartup - (now - started_))});
+    return;
+  }
+  const Route* route =
+      planner_.table()->Find(request.Header("Host"), request.path);
+  if (route == nullptr) {
+    Reject(exchange, request,
+           {ErrorKind::kUnknownRoute,
+            "no route matches the host name and path",
+            {}});
+    return;
+  }
+  const auto customer = Authorize(request.headers, *route, customers_,
+                                  feed_.routing_freshness(now), names_);
+  if (!customer) {
+    CountUnauthorized(customer.error());
+    Reject(exchange, request, customer.error());
+    return;
+  }
+  auto plan = planner_.Plan(*route);
+  if (draining_ && !HasTimeToRun(final_answers_at_ - now,
+                                 searches_.SlowLatency(plan->name))) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "this host is shutting down",
+            kShutdownRetryAfter});
+    return;
+  }
+  if (reachability_.cut_off() && !ZoneCanServe(now, *plan)) {
+    Reject(
+        exchange, request,
+        {ErrorKind::kNotReady, "this host cannot reach the other zones",
+         reachability_.RetryAfter(now, feed_.zone_reachable(now),
+                                  milliseconds(settings_.shutdown_hold_ms()))});
+    return;
+  }
+  if (contact_.state() == ContactState::kLost && !MayRelay(now)) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "this host reaches no target",
+            kTargetsLostRetryAfter});
+    return;
+  }
+  const Duration timeout = milliseconds(route->timeout_ms);
+  RunningRequest running;
+  running.request.id = next_request_++;
+  running.request.request_class = ClassOfRank(route->rank);
+  if (*customer != nullptr) {
+    running.request.customer = (*customer)->name;
+    running.request.customer_rank = std::min((*customer)->rank, kLowestRank);
+  } else if (!customers_.empty()) {
+    // Beside requests of customers, others are as urgent as their route.
+    running.request.customer_rank = std::min(route->rank, kLowestRank);
+  }
+  running.request.repeatable = route->repeatable;
+  running.request.budget = std::min(
+      timeout,
+      ReadDeadline(request.Header(names_.deadline_ms)).value_or(timeout));
+  running.request.plan = std::move(plan);
+  running.request.group = running.request.plan->name;
+  running.exchange = exchange;
+  running.format.top_records = route->top_records;
+  running.format.pass_through = route->shards.empty();
+  running.format.is_head_method = request.method == "HEAD";
+  running.started = now;
+  running.request.forwarded = ToForwardedRequest(
+      request, names_, {running.request.customer, !customers_.empty()});
+  requests_by_exchange_[exchange] = running.request.id;
+  if (MayRelay(now)) {
+    Relay(std::move(running), 0);
+  } else {
+    Run(std::move(running));
+  }
+}
+
+void ForwardHost::Run(RunningRequest running) {
+  const Instant now = MonotonicNow();
+  SearchRequest submitted = running.request;
+  submitted.budget = *submitted.budget - (now - running.started);
+  const RequestId id = submitted.id;
+  running_[id] = std::move(running);
+  searches_.Submit(now, submitted);
+}
+
+void ForwardHost::Reject(ExchangeId exchange,
+                         const HttpRequest& request,
+                         const Error& error) {
+  HttpResponse response =
+      ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
+  // Makes the load balancer route the caller's next connection to another host.
+  response.close = response.close || reachability_.cut_off() ||
+                   contact_.state() == ContactState::kLost;
+  if (error.kind == ErrorKind::kUnauthenticated) {
+    response.headers.push_back({"WWW-Authenticate", names_.key_scheme});
+  }
+  log_.Write(EventKind::kRequestRejected,
+             {{"request", request.Header(names_.request_id)},
+              {"reason", RowOf(error.kind).name},
+              {"detail", error.detail},
+              {"http_host", request.Header("Host")},
+              {"path", request.path},
+              {"status", response.status},
+              {"routing_version", feed_.routing_version()}});
+  front_->SendResponse(exchange, response);
+}
+
+void ForwardHost::CountUnauthorized(const Error& error) {
+  if (error.kind == ErrorKind::kUnauthenticated) {
+    ++unauthenticated_;
+  } else {
+    ++unconfirmed_keys_;
+  }
+}
+
+void ForwardHost::OnCallerDisconnected(ExchangeId exchange) {
+  auto node = requests_by_exchange_.extract(exchange);
+  if (node.empty()) {
+    return;
+  }
+  auto running = running_.extract(node.mapped());
+  if (!running.empty()) {
+    const RunningRequest& disconnected = running.mapped();
+    if (disconnected.relay) {
+      relay_.Cancel(*disconnected.relay);
+    }
+    log_.Write(EventKind::kCallerGone,
+               {{"request", disconnected.request.forwarded->request_id},
+                {"route", disconnected.request.group},
+                {"after_ms", MonotonicNow() - disconnected.started}});
+  }
+  searches_.OnCallerDisconnected(MonotonicNow(), node.mapped());
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/forward_message.cpp
+++ b/src/libsnipeworks/forward_message.cpp
@@ -23,7 +23,8 @@
 
 std::shared_ptr<const ForwardedRequest> ToForwardedRequest(
     HttpRequest& request,
-    const ForwardNames& names) {
+    const ForwardNames& names,
+    const ForwardedIdentity& identity) {
   auto message = std::make_shared<SharedRequest>();
   const std::string place = request.method + ' ' + request.target + ' ' +
                             std::string(request.Header("Host"));
@@ -35,11 +36,17 @@
   RemoveHopByHopHeaders(request.headers);
   for (const HttpHeader& header : request.headers) {
     if (SameHeaderName(header.name, names.deadline_ms) ||
-        SameHeaderName(header.name, names.expected_target)) {
+        SameHeaderName(header.name, names.expected_target) ||
+        SameHeaderName(header.name, names.customer) ||
+        (identity.strip_authorization &&
+         SameHeaderName(header.name, names.authorization))) {
       continue;
     }
     message->head += header.name + ": " + header.value + "\r\n";
   }
+  if (!identity.customer.empty()) {
+    message->head += names.customer + ": " + identity.customer + "\r\n";
+  }
   const bool has_no_body = request.body.empty();
   if (has_no_body && (request.method == "POST" || request.method == "PUT")) {
     message->head += "Content-Length: 0\r\n";
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -16,6 +16,8 @@
 
 #include <glog/logging.h>
 
+#include "fold_detector.h"
+
 namespace snipeworks {
 
 namespace {
@@ -185,6 +187,7 @@
     std::uint64_t id = 0;
     ExchangeId exchange = 0;
     HttpRequest request;
+    FoldDetector folds;  // In the head being read.
     std::string pipelined;
     std::size_t header_bytes = 0;
     bool value_seen = false;
@@ -245,7 +248,12 @@
       return CountHeaderBytes(piece.size());
     }
 
+    // Fields after the body are counted and ignored: credentials and routing
+    // must come before it.
     int OnHeaderName(std::string_view piece) {
+      if (in_body) {
+        return CountHeaderBytes(piece.size());
+      }
       if (request.headers.empty() || value_seen) {
         request.headers.emplace_back();
         value_seen = false;
@@ -255,6 +263,9 @@
     }
 
     int OnHeaderValue(std::string_view piece) {
+      if (in_body) {
+        return CountHeaderBytes(piece.size());
+      }
       if (!request.headers.empty()) {
         request.headers.back().value.append(piece);
       }
@@ -429,6 +440,10 @@
 
   // Parses up to the end of one request; the rest waits in `pipelined`.
   void Parse(Connection& connection, std::string_view bytes) {
+    if (!connection.in_body && connection.folds.Read(bytes)) {
+      RejectRequest(connection, kBadRequestStatus, "a header is folded");
+      return;
+    }
     const std::size_t used = http_parser_execute(
         &connection.parser, &callbacks_, bytes.data(), bytes.size());
     const auto fault = HTTP_PARSER_ERRNO(&connection.parser);
@@ -439,6 +454,8 @@
       http_parser_pause(&connection.parser, 0);
       connection.complete = false;
       connection.in_request = false;
+      connection.in_body = false;
+      connection.folds = FoldDetector();
       // Bytes after a request to switch protocols are not HTTP.
       const bool switched = connection.parser.upgrade != 0;
       connection.keep_alive = connection.keep_alive && !switched;
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -115,6 +115,35 @@
   EXPECT_EQ(requests[0].Header("host"), "h");
 }
 
+// A key in a trailer would come after the decision whose request it is.
+TEST_F(Listeners, IgnoreFieldsAfterTheBody) {
+  RunWithCaller({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send(
+        "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n0\r\nAuthorization: Token k\r\nHost: other\r\n\r\n"
+        "GET /2 HTTP/1.1\r\nHost: h2\r\n\r\n");
+    caller.ReadUntil("hello");
+    caller.ReadUntil("hello");
+  });
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_EQ(requests[0].Header("Authorization"), "");
+  EXPECT_EQ(requests[0].Header("Host"), "h");
+  EXPECT_EQ(requests[0].headers.size(), 2U);
+  EXPECT_EQ(requests[1].Header("Host"), "h2");
+}
+
+// A folded value is one that servers read in different ways.
+TEST_F(Listeners, RejectFoldedHeaders) {
+  RunWithCaller({}, [](std::uint16_t port) {
+    Socket caller(port);
+    caller.Send(
+        "GET / HTTP/1.1\r\nHost: h\r\nAuthorization: Token\r\n k\r\n\r\n");
+    EXPECT_NE(caller.ReadAll().find(" 400 "), std::string::npos);
+  });
+  EXPECT_TRUE(requests.empty());
+}
+
 // With two lengths, one server may see a request where another sees a body
 // (request smuggling).
 TEST_F(Listeners, RejectRequestsWithTwoLengths) {
--- a/src/libsnipeworks/routing.cpp
+++ b/src/libsnipeworks/routing.cpp
@@ -4,8 +4,12 @@
 #include <cctype>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
+#include "snipeworks/announcement.h"
+#include "snipeworks/text.h"
+
 namespace snipeworks {
 
 namespace {
@@ -99,6 +103,45 @@
   return {};
 }
 
+// Blanks at the ends of a header's value are not part of it.
+bool IsHeaderText(std::string_view text) {
+  return !text.empty() && IsPrintable(text) && text.front() != ' ' &&
+         text.back() != ' ';
+}
+
+// Reasons name customers only by valid names, and never contain a key.
+Result<void> Validate(const std::vector<Customer>& customers) {
+  std::set<std::string_view> names;
+  std::unordered_map<std::string_view, const Customer*> owners;
+  for (const Customer& customer : customers) {
+    if (auto valid = ValidateName("customer", customer.name); !valid) {
+      return valid;
+    }
+    const std::string where = "customer " + customer.name + ": ";
+    if (!IsHeaderText(customer.name)) {
+      return Fail(ErrorKind::kBadRequest,
+                  where + "the name begins or ends with a blank");
+    }
+    if (!names.insert(customer.name).second) {
+      return Fail(ErrorKind::kBadRequest,
+                  where + "another customer has the same name");
+    }
+    for (const std::string& key : customer.keys) {
+      if (!IsHeaderText(key)) {
+        return Fail(ErrorKind::kBadRequest,
+                    where + "a key is empty or cannot stand in a header");
+      }
+      const auto [owner, is_new] = owners.emplace(key, &customer);
+      if (!is_new && owner->second != &customer) {
+        return Fail(
+            ErrorKind::kBadRequest,
+            where + "shares a key with customer " + owner->second->name);
+      }
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 Result<void> Validate(const Routing& routing) {
@@ -117,7 +160,7 @@
                       ": another route has the same host name and path prefix");
     }
   }
-  return {};
+  return Validate(routing.customers);
 }
 
 std::optional<RoutingChange> DiffRouting(const Routing& from,
--- a/src/snipe-bench/bench.h
+++ b/src/snipe-bench/bench.h
@@ -28,6 +28,9 @@
 void BenchStore(const std::string& folder, std::size_t batch);
 /// Measures opening a log store that holds `entries` entries.
 void BenchRecovery(const std::string& folder, std::size_t entries);
+/// Measures memory, message sizes and times to read, send and apply a routing
+/// with `customers` customers, and the processor time of one look-up of a key.
+void BenchCustomers(std::size_t customers);
 
 }  // namespace snipeworks
 
--- a/src/snipe-bench/main.cpp
+++ b/src/snipe-bench/main.cpp
@@ -38,6 +38,9 @@
   for (std::size_t entries : {500, 50000}) {
     BenchRecovery(directory, entries);
   }
+  for (std::size_t customers : {100, 10000}) {
+    BenchCustomers(customers);
+  }
   std::filesystem::remove_all(directory);
   return kExitOk;
 }
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -118,8 +118,10 @@
     return "the caller left before the answer";
   }
   if (event == "request_rejected") {
+    const std::string detail = StringField(*final_line, "detail");
     return "refused before any target was chosen: " +
-           StringField(*final_line, "reason");
+           StringField(*final_line, "reason") +
+           (detail.empty() ? "" : ": " + detail);
   }
   const std::string outcome = StringField(*final_line, "outcome");
   if (event == "relayed") {
--- a/testsuite/scripted_target.py
+++ b/testsuite/scripted_target.py
@@ -9,13 +9,16 @@
 
 
 class ScriptedTarget:
-    """Serves one address. `make_response(request_id)` returns the bytes to send, or a generator
-    whose chunks are sent in turn until the caller closes the connection."""
+    """Serves one address. `make_response(request_id)`, or with the bytes of the request's head as
+    a second argument if `with_head` is set, returns the bytes to send, or a generator whose
+    chunks are sent in turn until the caller closes the connection."""
 
-    def __init__(self, name, group, zone, address, port, make_response, slots=4):
+    def __init__(self, name, group, zone, address, port, make_response, slots=4,
+                 with_head=False):
         self.name, self.group, self.zone = name, group, zone
         self.address, self.port, self.make_response = address, port, make_response
         self.slots = slots
+        self.with_head = with_head
         self.incarnation = int(time.time() * 1000)
         self.sequence = 0
         self.arrival_times = []
@@ -67,7 +70,9 @@
                         pending += read
                     head, pending = pending.split(b"\r\n\r\n", 1)
                     self.arrival_times.append(time.monotonic())
-                    response = self.make_response(header_value(head, "snipe-request-id"))
+                    request_id = header_value(head, "snipe-request-id")
+                    response = (self.make_response(request_id, head) if self.with_head
+                                else self.make_response(request_id))
                     for chunk in [response] if isinstance(response, bytes) else response:
                         connection.sendall(chunk)
         except OSError:
