Rank requests by their customer; close after a refusal for unknown freshness; cost of customers

A caller with a new key whose connection led to a partitioned host would have been refused on it until the partition ended.

Change: a 503 that says that the host may be behind closes the connection, so that the balancer can lead the caller's next one to a host in contact. CustomerRank decides a request's rank in one place, clipped also where another host sent it.

--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -89,8 +89,12 @@
 
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
-              const Error& error);
-  void CountUnauthorized(const Error& error);
+              const Error& error,
+              bool close = false);
+  /// Rejects a request that Authorize has refused.
+  void RejectUnauthorized(ExchangeId exchange,
+                          const HttpRequest& request,
+                          const Error& error);
   void AfterEventBatch();
   void SetNextTimer();
   void Execute(const SearchAction& action);
--- a/src/include/snipeworks/request_authorization.h
+++ b/src/include/snipeworks/request_authorization.h
@@ -1,6 +1,7 @@
 #ifndef SNIPEWORKS_REQUEST_AUTHORIZATION_H_
 #define SNIPEWORKS_REQUEST_AUTHORIZATION_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "snipeworks/customer_directory.h"
@@ -25,6 +26,16 @@
                                   RoutingFreshness freshness,
                                   const ForwardNames& names);
 
+/// The lowest rank that the queue tells apart; lower ones count as it.
+inline constexpr std::uint32_t kLowestCustomerRank = 2;
+
+/// The value of SearchRequest::customer_rank: that of `customer`, or of `route`
+/// for a request without one while there are customers, which is then as urgent
+/// as its route; 0 without customers.
+std::uint32_t CustomerRank(const Customer* customer,
+                           const Route& route,
+                           const CustomerDirectory& directory);
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_REQUEST_AUTHORIZATION_H_
--- a/src/libsnipeworks/customer_routing_test.cpp
+++ b/src/libsnipeworks/customer_routing_test.cpp
@@ -1,5 +1,7 @@
 // Customers in the routing document, its changes and messages between hosts.
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -15,6 +17,13 @@
 
 constexpr char kSecret[] = "secret-key";
 
+// The largest amount of memory that the process has held, in megabytes.
+long PeakMegabytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss / 1024;
+}
+
 // A document whose customers are the JSON text `customers`.
 std::string DocumentWith(const std::string& customers) {
   return R"({"version": 1, "routes": [
@@ -109,6 +118,28 @@
   EXPECT_FALSE(ParseRouting(document, RoutingNames()));
 }
 
+// A control host has 256 MB, of which it may lose little to one document.
+TEST(CustomerDocuments, OfTenThousandCustomersTakeLittleMemory) {
+  constexpr int kCustomers = 10'000;
+  constexpr long kMaxMegabytes = 40;
+  std::string customers;
+  for (int i = 0; i < kCustomers; ++i) {
+    const std::string number = std::to_string(i);
+    customers += (i > 0 ? "," : "[") + std::string(R"({"name":"customer-)") +
+                 number + R"(","rank":1,"requests_per_s":2,"burst":4,"keys":[)";
+    customers += R"("2c26b46b68ffc68ff99b453c1d304134-)" + number +
+                 R"(","486ea46224d1bb4fb680f34f7c9ad96a-)" + number + R"("]})";
+  }
+  const std::string document = DocumentWith(customers + "]");
+  const long before = PeakMegabytes();
+  const auto routing = ParseRouting(document, RoutingNames());
+  ASSERT_TRUE(routing) << routing.error().detail;
+  EXPECT_EQ(routing->customers.size(), std::size_t{kCustomers});
+  const long taken = PeakMegabytes() - before;
+  RecordProperty("megabytes", static_cast<int>(taken));
+  EXPECT_LE(taken, kMaxMegabytes);
+}
+
 TEST(CustomerChanges, CarryOnlyWhatDiffers) {
   Routing before;
   before.version = 1;
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -77,6 +77,7 @@
       EventKind::kRequest,
       {{"request", running.request.forwarded->request_id},
        {"route", running.request.group},
+       {"customer", running.request.customer},
        {"fingerprint", std::to_string(running.request.forwarded->fingerprint)},
        {"routing_version", running.request.plan->version},
        {"outcome", finish.result ? (is_complete ? "complete" : "partial")
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -6,6 +6,7 @@
 #include "snipeworks/caller_api.h"
 #include "snipeworks/forward_host.h"
 #include "snipeworks/relay_messages.h"
+#include "snipeworks/request_authorization.h"
 
 namespace snipeworks {
 
@@ -63,7 +64,7 @@
   request.request_class = ClassOfRank(static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, message.request_class)));
   request.customer = std::move(message.customer);
-  request.customer_rank = message.customer_rank;
+  request.customer_rank = std::min(message.customer_rank, kLowestCustomerRank);
   request.repeatable = message.repeatable;
   request.budget = Duration(message.budget_us);
   auto plan = std::make_shared<SearchPlan>();
--- a/src/libsnipeworks/forward_host_requests.cpp
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -25,8 +25,6 @@
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
 // No other host that is known serves either: time for one to regain targets.
 constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
-// Customers' ranks beyond it are the same.
-constexpr std::uint32_t kLowestRank = 2;
 
 std::optional<Duration> ReadDeadline(std::string_view text) {
   std::int64_t millis = 0;
@@ -60,8 +58,7 @@
   const auto customer = Authorize(request.headers, *route, customers_,
                                   feed_.routing_freshness(now), names_);
   if (!customer) {
-    CountUnauthorized(customer.error());
-    Reject(exchange, request, customer.error());
+    RejectUnauthorized(exchange, request, customer.error());
     return;
   }
   auto plan = planner_.Plan(*route);
@@ -92,11 +89,8 @@
   running.request.request_class = ClassOfRank(route->rank);
   if (*customer != nullptr) {
     running.request.customer = (*customer)->name;
-    running.request.customer_rank = std::min((*customer)->rank, kLowestRank);
-  } else if (!customers_.empty()) {
-    // Beside requests of customers, others are as urgent as their route.
-    running.request.customer_rank = std::min(route->rank, kLowestRank);
   }
+  running.request.customer_rank = CustomerRank(*customer, *route, customers_);
   running.request.repeatable = route->repeatable;
   running.request.budget = std::min(
       timeout,
@@ -129,11 +123,12 @@
 
 void ForwardHost::Reject(ExchangeId exchange,
                          const HttpRequest& request,
-                         const Error& error) {
+                         const Error& error,
+                         bool close) {
   HttpResponse response =
       ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
   // Makes the load balancer route the caller's next connection to another host.
-  response.close = response.close || reachability_.cut_off() ||
+  response.close = close || response.close || reachability_.cut_off() ||
                    contact_.state() == ContactState::kLost;
   if (error.kind == ErrorKind::kUnauthenticated) {
     response.headers.push_back({"WWW-Authenticate", names_.key_scheme});
@@ -149,12 +144,13 @@
   front_->SendResponse(exchange, response);
 }
 
-void ForwardHost::CountUnauthorized(const Error& error) {
-  if (error.kind == ErrorKind::kUnauthenticated) {
-    ++unauthenticated_;
-  } else {
-    ++unconfirmed_keys_;
-  }
+void ForwardHost::RejectUnauthorized(ExchangeId exchange,
+                                     const HttpRequest& request,
+                                     const Error& error) {
+  const bool is_final = error.kind == ErrorKind::kUnauthenticated;
+  ++(is_final ? unauthenticated_ : unconfirmed_keys_);
+  // Another host may know the key: on a new connection the caller may reach it.
+  Reject(exchange, request, error, !is_final);
 }
 
 void ForwardHost::OnCallerDisconnected(ExchangeId exchange) {
--- a/src/libsnipeworks/request_authorization.cpp
+++ b/src/libsnipeworks/request_authorization.cpp
@@ -1,5 +1,6 @@
 #include "snipeworks/request_authorization.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -88,4 +89,14 @@
   return Fail(ErrorKind::kUnauthenticated, reason);
 }
 
+std::uint32_t CustomerRank(const Customer* customer,
+                           const Route& route,
+                           const CustomerDirectory& directory) {
+  if (directory.empty()) {
+    return 0;
+  }
+  return std::min(customer != nullptr ? customer->rank : route.rank,
+                  kLowestCustomerRank);
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/request_authorization_test.cpp
+++ b/src/libsnipeworks/request_authorization_test.cpp
@@ -124,6 +124,18 @@
   EXPECT_EQ(directory.customers().size(), 3U);
 }
 
+// A customer's rank goes before its route's, which is all that a request
+// without a customer has.
+TEST_F(Authorization, GivesRequestsTheRankOfTheirCustomer) {
+  route.rank = 1;
+  const Customer urgent{"urgent", {}, 0};
+  const Customer last{"last", {}, 7};
+  EXPECT_EQ(CustomerRank(&urgent, route, directory), 0U);
+  EXPECT_EQ(CustomerRank(&last, route, directory), kLowestCustomerRank);
+  EXPECT_EQ(CustomerRank(nullptr, route, directory), 1U);
+  EXPECT_EQ(CustomerRank(nullptr, route, CustomerDirectory()), 0U);
+}
+
 HttpRequest RequestWith(Headers headers) {
   HttpRequest request;
   request.method = "GET";
