--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -77,6 +77,7 @@
       EventKind::kRequest,
       {{"request", running.request.forwarded->request_id},
        {"route", running.request.group},
+       {"customer", running.request.customer},
        {"fingerprint", std::to_string(running.request.forwarded->fingerprint)},
        {"routing_version", running.request.plan->version},
        {"outcome", finish.result ? (is_complete ? "complete" : "partial")
@@ -147,6 +148,9 @@
   gauges.targets_lost = contact_.state() == ContactState::kLost;
   gauges.relayed = relayed_;
   gauges.relayed_here = relayed_here_;
+  gauges.customers = customers_.customers().size();
+  gauges.unauthenticated = unauthenticated_;
+  gauges.unconfirmed_keys = unconfirmed_keys_;
   gauges.log_lines = log_.lines();
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
