Allow a slow host 1.75 s for a control host's reply before 401 becomes 503

What callers saw: nothing yet. A host with little processor time that needs more than 0.25 s beside the hold of a watch would have answered 503 in place of 401 now and then.

Cause: the limit of 1.25 s left little beside the second for which control hosts hold a reply; the call itself may take 1.5 s.

Change: 1.75 s since the reply, 2.75 s since its call was sent, which stays below the 4 s that a new version may take.

Evidence: Contact.* (limits moved with it) and testsuite.customer_keys pass, and so do limited_targets, leaving_targets, graceful_shutdown, silent_connections, endless_answers, late_requests_in_stop and entry_without_targets.

--- a/src/libsnipeworks/routing_contact.cpp
+++ b/src/libsnipeworks/routing_contact.cpp
@@ -8,11 +8,13 @@
 
 using std::chrono::milliseconds;
 
-// A control host in reach replies within its hold time of 1 s.
-constexpr Duration kReplyTimeout = milliseconds(1250);
-// A reply that was held confirms what was in force when it was sent, up to the
-// time that a call may take; the next call is then out for as long.
-constexpr Duration kCallTimeout = milliseconds(2500);
+// A control host in reach replies within its hold time of 1 s, and a call is
+// given up after 1.5 s. A host that has little processor time must not take its
+// own delays for a lost contact.
+constexpr Duration kReplyTimeout = milliseconds(1750);
+// A reply may have been held for 1 s. Limits the age of the version by which a
+// key is called unknown to less than the 4 s that a new one may take.
+constexpr Duration kCallTimeout = kReplyTimeout + milliseconds(1000);
 // Shorter pauses delay a new version no more than a slow link does.
 constexpr Duration kSuspension = milliseconds(2000);
 // Covers calls from before the suspension that have to fail first. A host that
