--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -73,6 +73,8 @@
   bool quorum_reachable(Instant now) const;
   /// True if a control host of this zone answered recently.
   bool zone_reachable(Instant now) const;
+  /// The peer addresses of the control hosts that are known.
+  std::vector<std::string> control_hosts() const;
   /// Number of control hosts that answered recently.
   std::size_t connected_count(Instant now) const;
 
--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -17,6 +17,7 @@
 #include "snipeworks/host_settings.h"
 #include "snipeworks/http_listener.h"
 #include "snipeworks/peer_transport.h"
+#include "snipeworks/quota_service.h"
 #include "snipeworks/rocks_log_store.h"
 
 namespace snipeworks {
@@ -72,6 +73,7 @@
   ReadReply ReadNewestRouting();
   bool IsCurrent();
   std::string LeaderAddress() const;
+  QuotaLeadership Leadership();
 
   void OnHttp(ExchangeId exchange, const HttpRequest& request);
   void AcknowledgeDeparture(ExchangeId exchange,
@@ -108,6 +110,7 @@
   std::unique_ptr<ConsensusNode> node_;
   PeerClient peers_;
   ControlMembership membership_;
+  QuotaService quotas_;
   ControlMetrics metrics_;
   std::unique_ptr<PeerServer> server_;
   std::unique_ptr<HttpListener> http_;
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -60,6 +60,9 @@
 
   const TargetDirectory& directory() const { return directory_; }
   std::uint32_t entry_hosts() const;
+  std::vector<std::string> entry_host_names() const {
+    return entry_host_registry_.names();
+  }
 
  private:
   struct PendingWatch {
--- a/src/include/snipeworks/control_metrics.h
+++ b/src/include/snipeworks/control_metrics.h
@@ -25,6 +25,10 @@
   std::uint64_t targets = 0;
   std::uint64_t departures = 0;  ///< Kept in the control log.
   std::uint64_t entry_hosts = 0;
+  std::uint64_t quota_customers = 0;  ///< 0 unless the host leads.
+  std::uint64_t quota_closed = 0;     ///< That have used up their quota.
+  std::uint64_t quota_hosts = 0;      ///< Entry hosts that report.
+  bool quota_complete = false;        ///< The shares of all hosts are known.
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
   PeerTraffic peer_traffic;
--- a/src/include/snipeworks/entry_host_registry.h
+++ b/src/include/snipeworks/entry_host_registry.h
@@ -36,6 +36,9 @@
   /// Forgets hosts that no control host has heard from for long.
   void Prune(Instant now);
 
+  /// The names of all known hosts.
+  std::vector<std::string> names() const;
+
   /// Number of known hosts.
   std::size_t size() const { return last_known_contact_.size(); }
 
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -24,8 +24,15 @@
   std::size_t quarantined = 0;
   std::uint64_t settings_version = 0;
   bool ready = false;
-  bool cut_off = false;       ///< No other zone can be reached.
-  bool targets_lost = false;  ///< No target can be reached.
+  bool cut_off = false;               ///< No other zone can be reached.
+  bool targets_lost = false;          ///< No target can be reached.
+  std::uint64_t quota_customers = 0;  ///< Customers with a quota.
+  std::uint64_t quota_closed = 0;     ///< That have used it up.
+  std::uint64_t quota_shares = 0;     ///< Of which this host holds a share.
+  bool quota_contact = false;         ///< The leader answers reports.
+  std::uint64_t quota_exceeded = 0;   ///< Requests refused.
+  std::uint64_t quota_no_contact = 0;
+  std::uint64_t quota_credited = 0;
   std::uint64_t relayed = 0;  ///< Requests that other hosts were asked to run.
   std::uint64_t relayed_here = 0;  ///< Requests run for other hosts.
   std::uint64_t log_lines = 0;
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -34,6 +34,8 @@
   kTargetLimit,
   kTargetContact,
   kRelayed,
+  kQuotaContact,
+  kQuota,
   kEvidence,
   kCallerGone,
   kRequestRejected,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -20,6 +20,7 @@
 #include "snipeworks/http_listener.h"
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/protocol_names.h"
+#include "snipeworks/quota_feed.h"
 #include "snipeworks/random.h"
 #include "snipeworks/reachability_monitor.h"
 #include "snipeworks/request_relay.h"
@@ -62,9 +63,15 @@
     /// Set while another entry host is asked to run it.
     std::optional<RelayId> relay;
     std::int64_t attempts = 0;  ///< Of a part, before it was relayed.
+    QuotaDecision quota;        ///< What the customer was charged here.
   };
   Result<void> StartListeners();
   void OnRequest(ExchangeId exchange, HttpRequest request);
+  /// Charges the customer of a request; rejects the request and returns false
+  /// if the quota does not admit it.
+  bool Charge(Instant now, const HttpRequest& request, RunningRequest& running);
+  /// Takes back the charge for a request that was not sent to a target.
+  void Credit(const RunningRequest& running);
   void OnCallerDisconnected(ExchangeId exchange);
   void Run(RunningRequest running);
 
@@ -88,7 +95,8 @@
 
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
-              const Error& error);
+              const Error& error,
+              const std::string& customer = "");
   void AfterEventBatch();
   void SetNextTimer();
   void Execute(const SearchAction& action);
@@ -124,6 +132,7 @@
   PeerClient peers_;
   ForwardGateway gateway_;
   ControlFeed feed_;
+  QuotaFeed quotas_;
   ReachabilityMonitor reachability_;
   ContactMonitor contact_;
   RequestRelay relay_;
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -11,6 +11,7 @@
 #include "snipeworks/clock.h"
 #include "snipeworks/error.h"
 #include "snipeworks/policy.h"
+#include "snipeworks/quota_bounds.h"
 
 namespace snipeworks {
 
@@ -73,6 +74,8 @@
   /// Part of a route's latency objective that the network between the caller
   /// and this host takes, both ways.
   Duration answer_margin() const { return answer_margin_; }
+  /// How closely all entry hosts together keep customers' quotas.
+  const QuotaBounds& quota_bounds() const { return quota_bounds_; }
   /// Policy of forwarded requests, for what their route does not set.
   const GroupPolicy& policy() const { return policy_; }
 
@@ -99,6 +102,7 @@
   Duration report_interval_ = std::chrono::seconds(1);
   Duration shutdown_limit_ = std::chrono::seconds(65);
   Duration answer_margin_{};
+  QuotaBounds quota_bounds_;
   GroupPolicy policy_;
 };
 
--- a/src/include/snipeworks/quota_allocator.h
+++ b/src/include/snipeworks/quota_allocator.h
@@ -64,6 +64,7 @@
   std::size_t hosts() const { return hosts_.size(); }
   std::size_t closed() const { return closed_.size(); }
   const std::set<std::string>& closed_customers() const { return closed_; }
+  QuotaUsage UsageOf(Instant now, const std::string& customer) const;
   /// The customers with demand, the busiest first; at most `limit`.
   std::vector<QuotaUsage> Usage(Instant now, std::size_t limit) const;
 
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -74,6 +74,14 @@
       }));
 }
 
+std::vector<std::string> ControlFeed::control_hosts() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, source] : sources_) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
 bool ControlFeed::quorum_reachable(Instant now) const {
   return std::ranges::any_of(sources_, [&](const auto& entry) {
     const Source& source = entry.second;
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -103,7 +103,12 @@
                   settings_.peer().ToString(),
                   settings_.zone(),
                   settings_.report_interval() * kMissedReportsPerLease,
-                  [this] { return View(); }) {
+                  [this] { return View(); }),
+      quotas_(
+          log_,
+          settings_.quota_bounds(),
+          [this] { return Leadership(); },
+          [this] { return membership_.entry_host_names(); }) {
   if (store_) {
     OpenNode();
   }
@@ -213,6 +218,12 @@
            gauges.targets = membership_.directory().view().All().size();
            gauges.departures = state_.departures();
            gauges.entry_hosts = membership_.entry_hosts();
+           if (const QuotaAllocator* quotas = quotas_.allocator()) {
+             gauges.quota_customers = quotas->customers();
+             gauges.quota_closed = quotas->closed();
+             gauges.quota_hosts = quotas->hosts();
+             gauges.quota_complete = quotas->complete();
+           }
            gauges.log_lines = log_.lines();
            gauges.log_lines_dropped = log_.dropped();
            gauges.peer_traffic = peers_.traffic();
@@ -231,7 +242,10 @@
   leader_known_at_ = last_iteration_at_;
   no_leader_logged_at_ = last_iteration_at_;
   loop_.Every(kTickInterval, [this] { Tick(); });
-  loop_.Every(kMembershipTickInterval, [this] { membership_.Tick(); });
+  loop_.Every(kMembershipTickInterval, [this] {
+    membership_.Tick();
+    quotas_.Tick();
+  });
   loop_.AfterEventBatch([this] { AfterEventBatch(); });
   log_.Write(EventKind::kStarted, {{"zone", settings_.zone()},
                                    {"http", settings_.http().ToString()},
@@ -350,6 +364,8 @@
     membership_.OnGossip(payload, reply);
   } else if (path == kControlConditionsPath) {
     membership_.OnConditions(payload, reply);
+  } else if (path == kControlQuotaPath) {
+    quotas_.OnReport(payload, reply);
   } else if (path == kControlReadPath) {
     OnRead(reply);
   } else {
@@ -563,6 +579,24 @@
   return found == node_->members().end() ? "" : found->address;
 }
 
+// A host that was frozen must not grant by what it knew before: it leads only
+// while a quorum answers it.
+QuotaLeadership ControlHost::Leadership() {
+  const Instant now = MonotonicNow();
+  QuotaLeadership leadership;
+  if (!node_) {
+    return leadership;
+  }
+  leadership.leads = node_->IsLeaderWithQuorum(now) && node_->IsCurrent(now);
+  leadership.term = node_->term();
+  if (leadership.leads) {
+    leadership.routing = &CurrentRouting();
+  } else {
+    leadership.leader = LeaderAddress();
+  }
+  return leadership;
+}
+
 // Documents are validated before they are proposed, so one that cannot be
 // parsed here was accepted by a host configured with other names. The previous
 // version stays in force.
--- a/src/libsnipeworks/control_host_calls.cpp
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -29,27 +29,54 @@
 constexpr Duration kQuorumPatience = milliseconds(1000);
 constexpr Duration kDepartureRetryAfter = milliseconds(100);
 
-std::string StatusJson(const ControlStatus& status) {
+// Customers in /v1/status.
+constexpr std::size_t kQuotasShown = 100;
+
+nlohmann::json QuotasJson(const QuotaAllocator& quotas) {
+  nlohmann::json customers = nlohmann::json::array();
+  for (const QuotaUsage& usage : quotas.Usage(MonotonicNow(), kQuotasShown)) {
+    nlohmann::json hosts = nlohmann::json::object();
+    for (const auto& [host, per_second] : usage.hosts) {
+      hosts[host] = per_second;
+    }
+    customers.push_back({{"customer", usage.customer},
+                         {"quota_per_s", usage.quota.requests_per_second},
+                         {"burst", usage.quota.burst},
+                         {"demand_per_s", usage.requests_per_second},
+                         {"tokens", usage.tokens},
+                         {"closed", usage.closed},
+                         {"shares", usage.shares},
+                         {"hosts", std::move(hosts)}});
+  }
+  return {{"complete", quotas.complete()},
+          {"customers_with_quota", quotas.customers()},
+          {"busiest", std::move(customers)}};
+}
+
+std::string StatusJson(const ControlStatus& status,
+                       const QuotaAllocator* quotas) {
   nlohmann::json members = nlohmann::json::array();
   for (const Member& member : status.members) {
     members.push_back({{"host", member.host},
                        {"address", member.address},
                        {"voter", member.voter}});
   }
-  const nlohmann::json document = {
-      {"host", status.host},
-      {"role", status.role},
-      {"leader", status.leader},
-      {"term", status.term},
-      {"commit", status.commit},
-      {"last", status.last},
-      {"first", status.first},
-      {"current", status.current},
-      {"failed", status.failed},
-      {"settings_version", status.settings_version},
-      {"members_committed", status.members_committed},
-      {"claims", status.claims},
-      {"members", std::move(members)}};
+  nlohmann::json document = {{"host", status.host},
+                             {"role", status.role},
+                             {"leader", status.leader},
+                             {"term", status.term},
+                             {"commit", status.commit},
+                             {"last", status.last},
+                             {"first", status.first},
+                             {"current", status.current},
+                             {"failed", status.failed},
+                             {"settings_version", status.settings_version},
+                             {"members_committed", status.members_committed},
+                             {"claims", status.claims},
+                             {"members", std::move(members)}};
+  if (quotas != nullptr) {
+    document["quotas"] = QuotasJson(*quotas);
+  }
   return WriteJson(document) + "\n";
 }
 
@@ -61,8 +88,8 @@
     return;
   }
   if (request.path == "/v1/status") {
-    http_->SendResponse(exchange,
-                        {200, "application/json", StatusJson(Status())});
+    http_->SendResponse(exchange, {200, "application/json",
+                                   StatusJson(Status(), quotas_.allocator())});
     return;
   }
   if (request.path == "/v1/faults" && settings_.allow_faults()) {
--- a/src/libsnipeworks/control_metrics.cpp
+++ b/src/libsnipeworks/control_metrics.cpp
@@ -80,6 +80,10 @@
   set("targets", static_cast<double>(gauges.targets));
   set("departures", static_cast<double>(gauges.departures));
   set("entry_hosts", static_cast<double>(gauges.entry_hosts));
+  set("quota_customers", static_cast<double>(gauges.quota_customers));
+  set("quota_closed", static_cast<double>(gauges.quota_closed));
+  set("quota_hosts", static_cast<double>(gauges.quota_hosts));
+  set("quota_complete", gauges.quota_complete ? 1.0 : 0.0);
   set("log_lines", static_cast<double>(gauges.log_lines));
   set("log_lines_dropped", static_cast<double>(gauges.log_lines_dropped));
   set("peer_sent_bytes", static_cast<double>(gauges.peer_traffic.bytes_sent));
--- a/src/libsnipeworks/entry_host_registry.cpp
+++ b/src/libsnipeworks/entry_host_registry.cpp
@@ -57,6 +57,15 @@
   }
 }
 
+std::vector<std::string> EntryHostRegistry::names() const {
+  std::vector<std::string> names;
+  names.reserve(last_known_contact_.size());
+  for (const auto& [host, contact_time] : last_known_contact_) {
+    names.push_back(host);
+  }
+  return names;
+}
+
 // The successors of `host` on each zone's ring: origins of one zone spread over
 // all hosts of another.
 std::vector<RelayHost> EntryHostRegistry::RelaysFor(
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -121,6 +121,23 @@
   Gauge& relayed_here = AddGauge(registry,
                                  "snipeworks_requests_relayed_here",
                                  "Requests run for other entry hosts");
+  Family<Gauge>& quotas =
+      BuildGauge()
+          .Name("snipeworks_quotas")
+          .Help("What this host knows and decides of quotas, by name")
+          .Register(registry);
+  void SetQuotas(const EntryGauges& gauges) {
+    const auto set = [this](const char* name, double value) {
+      quotas.Add({{"name", name}}).Set(value);
+    };
+    set("customers", static_cast<double>(gauges.quota_customers));
+    set("closed", static_cast<double>(gauges.quota_closed));
+    set("shares", static_cast<double>(gauges.quota_shares));
+    set("contact", gauges.quota_contact ? 1.0 : 0.0);
+    set("exceeded", static_cast<double>(gauges.quota_exceeded));
+    set("no_contact", static_cast<double>(gauges.quota_no_contact));
+    set("credited", static_cast<double>(gauges.quota_credited));
+  }
   Gauge& log_lines =
       AddGauge(registry, "snipeworks_log_lines", "Event lines written");
   Gauge& log_lines_dropped = AddGauge(registry,
@@ -225,6 +242,9 @@
   impl_->ready.Set(gauges.ready ? 1.0 : 0.0);
   impl_->cut_off.Set(gauges.cut_off ? 1.0 : 0.0);
   impl_->targets_lost.Set(gauges.targets_lost ? 1.0 : 0.0);
+  if (gauges.quota_customers > 0) {
+    impl_->SetQuotas(gauges);
+  }
   impl_->relayed.Set(static_cast<double>(gauges.relayed));
   impl_->relayed_here.Set(static_cast<double>(gauges.relayed_here));
   impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -63,6 +63,11 @@
              "lost all of them"},
     EventRow{EventKind::kRelayed, "relayed", false,
              "another entry host was asked to run a request"},
+    EventRow{EventKind::kQuotaContact, "quota_contact", true,
+             "the leader answers reports on the use of quotas, or no longer "
+             "does"},
+    EventRow{EventKind::kQuota, "quota", false,
+             "a customer has used up its quota, or no longer has"},
     EventRow{EventKind::kEvidence, "evidence", false,
              "targets have ended under a request, or it was cleared of that"},
     EventRow{EventKind::kCallerGone, "caller_gone", false,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -143,6 +143,12 @@
              [this](const std::vector<RelayHost>& hosts) {
                relay_.selector().SetHosts(hosts);
              }}),
+      quotas_(loop,
+              peers_,
+              log_,
+              settings_.host(),
+              settings_.quota_bounds(),
+              [this] { return feed_.control_hosts(); }),
       contact_(searches_.view(),
                random_.Next(),
                {[this](const std::string& address,
@@ -345,6 +351,9 @@
   running.format.pass_through = route->shards.empty();
   running.format.is_head_method = request.method == "HEAD";
   running.started = now;
+  if (!Charge(now, request, running)) {
+    return;
+  }
   running.request.forwarded = ToForwardedRequest(request, names_);
   requests_by_exchange_[exchange] = running.request.id;
   if (MayRelay(now)) {
@@ -365,7 +374,8 @@
 
 void ForwardHost::Reject(ExchangeId exchange,
                          const HttpRequest& request,
-                         const Error& error) {
+                         const Error& error,
+                         const std::string& customer) {
   HttpResponse response =
       ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
   // Makes the load balancer route the caller's next connection to another host.
@@ -375,6 +385,7 @@
              {{"request", request.Header(names_.request_id)},
               {"reason", RowOf(error.kind).name},
               {"detail", error.detail},
+              {"customer", customer},
               {"http_host", request.Header("Host")},
               {"path", request.path},
               {"status", response.status},
@@ -390,6 +401,10 @@
   auto running = running_.extract(node.mapped());
   if (!running.empty()) {
     const RunningRequest& disconnected = running.mapped();
+    if (!disconnected.relay &&
+        searches_.MostAttempts(node.mapped()) == std::int64_t{0}) {
+      Credit(disconnected);
+    }
     if (disconnected.relay) {
       relay_.Cancel(*disconnected.relay);
     }
@@ -460,6 +475,7 @@
   front_->SetLimits(limits);
   relay_listener_->SetLimits(RelayListenerLimits(limits));
   planner_.SetRouting(routing);
+  quotas_.SetQuotas(routing);
 }
 
 void ForwardHost::SetNextTimer() {
@@ -618,6 +634,9 @@
     return;
   }
   const RunningRequest& running = node.mapped();
+  if (!finish.result && finish.most_attempts == 0) {
+    Credit(running);
+  }
   metrics_.OnSearch(running.request, finish.result,
                     MonotonicNow() - running.started);
   const HttpResponse response =
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -145,6 +145,13 @@
   gauges.ready = ready();
   gauges.cut_off = reachability_.cut_off();
   gauges.targets_lost = contact_.state() == ContactState::kLost;
+  gauges.quota_customers = quotas_.limiter().customers();
+  gauges.quota_closed = quotas_.limiter().closed();
+  gauges.quota_shares = quotas_.limiter().shares(now);
+  gauges.quota_contact = quotas_.limiter().InContact(now);
+  gauges.quota_exceeded = quotas_.exceeded();
+  gauges.quota_no_contact = quotas_.without_contact();
+  gauges.quota_credited = quotas_.credited();
   gauges.relayed = relayed_;
   gauges.relayed_here = relayed_here_;
   gauges.log_lines = log_.lines();
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -162,6 +162,9 @@
       outcome.status == RelayStatus::kAnswered &&
       outcome.reply.status == RowOf(ErrorKind::kOverloaded).http_status;
   if (outcome.status == RelayStatus::kAnswered && !(refused && ran_before)) {
+    if (refused) {
+      Credit(running);
+    }
     FinishRelayed(running, outcome, outcome.reply.ToResponse());
     return;
   }
@@ -175,6 +178,9 @@
   // What may have run here must not be reported as not run.
   const RelayStatus status =
       ran_before ? RelayStatus::kUnknown : outcome.status;
+  if (status == RelayStatus::kNotRun) {
+    Credit(running);
+  }
   Error error = RelayError(status, !running.request.repeatable);
   if (late && error.kind == ErrorKind::kTargetsFailed) {
     error.kind = ErrorKind::kDeadline;
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kMaxShutdownHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
 
-constexpr std::array<std::string_view, 21> kSettingNames = {
+constexpr std::array<std::string_view, 25> kSettingNames = {
     "host",
     "zone",
     "http",
@@ -36,6 +36,10 @@
     "shutdown_limit_ms",
     "answer_margin_ms",
     "tolerated_losses",
+    "quota_window_s",
+    "quota_overshoot",
+    "quota_overshoot_percent",
+    "quota_slack",
     "policy"};
 
 Address ReadAddress(JsonReader& reader, const char* name) {
@@ -84,6 +88,41 @@
       reader.UnsignedOr(name, fallback_ms, 0, kMaxMs));
 }
 
+double ReadNumberOr(JsonReader& reader,
+                    const json& document,
+                    const char* name,
+                    double fallback,
+                    double min,
+                    double max) {
+  if (!reader.Has(name)) {
+    return fallback;
+  }
+  const json& value = document[name];
+  if (!value.is_number() || value.get<double>() < min ||
+      value.get<double>() > max) {
+    reader.AddError(name, "must be a number from " + std::to_string(min) +
+                              " to " + std::to_string(max));
+    return fallback;
+  }
+  return value.get<double>();
+}
+
+QuotaBounds ReadQuotaBounds(JsonReader& reader, const json& document) {
+  constexpr double kMaxWindowS = 3600.0;
+  constexpr double kMaxSlack = 1e6;
+  QuotaBounds bounds;
+  bounds.window_s = ReadNumberOr(reader, document, "quota_window_s",
+                                 bounds.window_s, 1.0, kMaxWindowS);
+  bounds.overshoot = ReadNumberOr(reader, document, "quota_overshoot",
+                                  bounds.overshoot, 0.0, 10.0);
+  bounds.overshoot = ReadNumberOr(reader, document, "quota_overshoot_percent",
+                                  bounds.overshoot * 100.0, 0.0, 1000.0) /
+                     100.0;
+  bounds.slack = ReadNumberOr(reader, document, "quota_slack", bounds.slack,
+                              0.0, kMaxSlack);
+  return bounds;
+}
+
 GroupPolicy ReadPolicy(JsonReader& outer, const json& document) {
   GroupPolicy policy;
   if (!outer.Has("policy")) {
@@ -172,6 +211,7 @@
       ReadMilliseconds(reader, "shutdown_limit_ms", settings.shutdown_limit_);
   settings.answer_margin_ =
       ReadMilliseconds(reader, "answer_margin_ms", settings.answer_margin_);
+  settings.quota_bounds_ = ReadQuotaBounds(reader, *document);
   settings.policy_ = ReadPolicy(reader, *document);
   if (document->is_object()) {
     for (const auto& [name, value] : document->items()) {
--- a/src/libsnipeworks/quota_allocator.cpp
+++ b/src/libsnipeworks/quota_allocator.cpp
@@ -414,19 +414,30 @@
   return grant;
 }
 
+QuotaUsage QuotaAllocator::UsageOf(Instant now,
+                                   const std::string& customer) const {
+  QuotaUsage usage;
+  usage.customer = customer;
+  auto found = customers_.find(customer);
+  if (found != customers_.end()) {
+    Account account = found->second;
+    Settle(now, account);
+    usage.quota = account.quota;
+    usage.requests_per_second =
+        account.demand.Weight(now) / kDemandTimeConstantS;
+    usage.tokens = account.tokens;
+    usage.closed = account.closed;
+    usage.shares = account.outstanding;
+  }
+  return usage;
+}
+
 std::vector<QuotaUsage> QuotaAllocator::Usage(Instant now,
                                               std::size_t limit) const {
   std::vector<QuotaUsage> usage;
   for (const auto& [customer, account] : customers_) {
-    const double weight = account.demand.Weight(now);
-    if (weight >= kMinDemandWeight || account.closed) {
-      usage.push_back({customer,
-                       account.quota,
-                       weight / kDemandTimeConstantS,
-                       account.tokens,
-                       account.closed,
-                       account.outstanding,
-                       {}});
+    if (account.demand.Weight(now) >= kMinDemandWeight || account.closed) {
+      usage.push_back(UsageOf(now, customer));
     }
   }
   std::ranges::sort(usage, std::greater(), &QuotaUsage::requests_per_second);
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -16,11 +16,12 @@
 // cause.
 constexpr double kContextWindowSeconds = 15.0;
 
-constexpr std::array<std::string_view, 12> kContextEvents = {
+constexpr std::array<std::string_view, 14> kContextEvents = {
     "target_changed", "control_lost",  "control_regained",
     "stalled",        "lines_dropped", "routing_in_force",
     "ready",          "unready",       "stopping",
-    "stopped",        "target_limit",  "target_contact"};
+    "stopped",        "target_limit",  "target_contact",
+    "quota_contact",  "quota"};
 
 double TimeField(const json& line) {
   return line.value("time", 0.0);
@@ -77,7 +78,9 @@
 std::vector<json> Explanation::ContextLines() const {
   std::set<std::string> targets;
   std::set<std::string> hosts;
+  std::set<std::string> customers;
   for (const json& line : request_lines_) {
+    customers.insert(StringField(line, "customer"));
     targets.insert(StringField(line, "target"));
     hosts.insert(StringField(line, "host"));
   }
@@ -91,9 +94,10 @@
     const bool in_window = TimeField(line) >= first && TimeField(line) <= last;
     const std::string event = StringField(line, "event");
     const bool of_target = event == "target_changed" || event == "target_limit";
-    const bool relevant = of_target
-                              ? targets.contains(StringField(line, "target"))
-                              : hosts.contains(StringField(line, "host"));
+    const bool relevant =
+        event == "quota" ? customers.contains(StringField(line, "customer"))
+        : of_target      ? targets.contains(StringField(line, "target"))
+                         : hosts.contains(StringField(line, "host"));
     if (in_window && relevant) {
       context.push_back(line);
     }
@@ -118,8 +122,10 @@
     return "the caller left before the answer";
   }
   if (event == "request_rejected") {
+    const std::string detail = StringField(*final_line, "detail");
     return "refused before any target was chosen: " +
-           StringField(*final_line, "reason");
+           StringField(*final_line, "reason") +
+           (detail.empty() ? "" : ": " + detail);
   }
   const std::string outcome = StringField(*final_line, "outcome");
   if (event == "relayed") {
