Quotas: tests that two mutations survived

Cause: the test of a frozen host waited until the lease had ended, and that of a lost grant had an earlier grant of the same share, so neither failed without its mechanism.

Change: a test of an answer that waited for its host, and a lost first grant.

--- a/src/libsnipeworks/quota_allocator_test.cpp
+++ b/src/libsnipeworks/quota_allocator_test.cpp
@@ -133,7 +133,6 @@
 
 // Guards against a grant that is not counted since its answer was lost.
 TEST_F(QuotaTest, ShareInALostGrantCountsAsHeld) {
-  Take(host, 2);
   Exchange(host);
   Take(host, 2);
   now += milliseconds(100);
@@ -172,6 +171,17 @@
             QuotaDecision::Outcome::kNoContact);
 }
 
+// Guards against contact by an answer that the leader counts as not received.
+TEST_F(QuotaTest, AnswerThatWaitedIsNotUsed) {
+  GiveShare(host);
+  now += milliseconds(100);
+  const QuotaReport report = host.TakeReport(now);
+  const QuotaGrant grant = allocator.OnReport(now, report);
+  now += kQuotaContact - milliseconds(50);
+  host.OnGrant(now, grant);
+  EXPECT_FALSE(host.InContact(now));
+}
+
 // Guards against a full bucket at the loss of contact, beside what the others
 // use of the leader's.
 TEST_F(QuotaTest, ShareIsUsedWithoutContactFromAnEmptyBucket) {
