--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -35,6 +35,8 @@
   kTargetLimit,
   kTargetContact,
   kRelayed,
+  kQuotaContact,
+  kQuota,
   kEvidence,
   kCallerGone,
   kRequestRejected,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -128,6 +128,12 @@
              [this](const std::vector<RelayHost>& hosts) {
                relay_.selector().SetHosts(hosts);
              }}),
+      quotas_(loop,
+              peers_,
+              log_,
+              settings_.host(),
+              settings_.quota_bounds(),
+              [this] { return feed_.control_hosts(); }),
       contact_(searches_.view(),
                random_.Next(),
                {[this](const std::string& address,
@@ -340,6 +346,7 @@
   // The planner needs no customers: their keys take the most memory.
   planner_.SetRouting(
       {routing.version, routing.routes, routing.groups, routing.limits, {}});
+  quotas_.SetQuotas(routing);
 }
 
 void ForwardHost::SetNextTimer() {
@@ -498,6 +505,9 @@
     return;
   }
   const RunningRequest& running = node.mapped();
+  if (!finish.result && finish.most_attempts == 0) {
+    Credit(running);
+  }
   metrics_.OnSearch(running.request, finish.result,
                     MonotonicNow() - running.started);
   const HttpResponse response =
--- a/src/libsnipeworks/forward_host_requests.cpp
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -102,6 +102,9 @@
   running.format.pass_through = route->shards.empty();
   running.format.is_head_method = request.method == "HEAD";
   running.started = now;
+  if (!Charge(now, request, running)) {
+    return;
+  }
   running.request.forwarded = ToForwardedRequest(
       request, names_, {running.request.customer, !customers_.empty()});
   requests_by_exchange_[exchange] = running.request.id;
@@ -124,7 +127,8 @@
 void ForwardHost::Reject(ExchangeId exchange,
                          const HttpRequest& request,
                          const Error& error,
-                         bool close) {
+                         bool close,
+                         const std::string& customer) {
   HttpResponse response =
       ToHttpResponse(error, RetryAfterFormat::kFractionalSeconds);
   // Makes the load balancer route the caller's next connection to another host.
@@ -137,6 +141,7 @@
              {{"request", request.Header(names_.request_id)},
               {"reason", RowOf(error.kind).name},
               {"detail", error.detail},
+              {"customer", customer},
               {"http_host", request.Header("Host")},
               {"path", request.path},
               {"status", response.status},
@@ -161,6 +166,10 @@
   auto running = running_.extract(node.mapped());
   if (!running.empty()) {
     const RunningRequest& disconnected = running.mapped();
+    if (!disconnected.relay &&
+        searches_.MostAttempts(node.mapped()) == std::int64_t{0}) {
+      Credit(disconnected);
+    }
     if (disconnected.relay) {
       relay_.Cancel(*disconnected.relay);
     }
