Quotas: reports and grants look at customers in use alone

Cause: at an entry host each report and each grant went through all customers, up to 20 times a second, and looked each up in the list of closed ones.

Change: the limiter keeps a list of the customers with a share, something to report or a closed quota.

--- a/src/include/snipeworks/quota_limiter.h
+++ b/src/include/snipeworks/quota_limiter.h
@@ -87,10 +87,20 @@
     std::uint32_t demand = 0;
     std::int64_t used = 0;
     std::int64_t counted = 0;
+    /// True if the customer is in active_.
+    bool active = false;
     /// When the first of the charges was made that are not counted yet.
     Instant uncounted_since{};
   };
 
+  // Points into customers_.
+  struct Active {
+    const std::string* customer;
+    State* state;
+  };
+
+  void Activate(const std::string& customer, State& state);
+  void ApplyClosed(Instant now, const QuotaGrant& grant, bool was_in_contact);
   void Settle(Instant now, State& state) const;
   double Capacity(const State& state) const;
   double UncountedAllowance(Instant now, const State& state) const;
@@ -102,6 +112,9 @@
   std::uint64_t epoch_;
   QuotaBounds bounds_;
   StringMap<State> customers_;
+  /// The customers with a share, something to report, or a closed quota:
+  /// reports and grants look at no others.
+  std::vector<Active> active_;
   std::uint64_t routing_version_ = 0;
   std::uint64_t term_ = 0;
   std::uint64_t grant_serial_ = 0;
--- a/src/include/snipeworks/quota_messages.h
+++ b/src/include/snipeworks/quota_messages.h
@@ -76,7 +76,8 @@
   /// True if `shares` lists all shares of the host, false for changes alone.
   bool full = false;
   std::vector<QuotaShare> shares;
-  /// All customers whose requests are admitted by shares alone.
+  /// All customers whose requests are admitted by shares alone, in the order of
+  /// their names.
   std::vector<std::string> closed;
   std::int64_t lease_ms = 0;  ///< From the time when the report was sent.
 };
--- a/src/libsnipeworks/quota_limiter.cpp
+++ b/src/libsnipeworks/quota_limiter.cpp
@@ -89,6 +89,18 @@
     next_report_at_ = now;
   }
   customers_ = std::move(kept);
+  active_.clear();
+  for (auto& [customer, state] : customers_) {
+    if (std::exchange(state.active, false)) {
+      Activate(customer, state);
+    }
+  }
+}
+
+void QuotaLimiter::Activate(const std::string& customer, State& state) {
+  if (!std::exchange(state.active, true)) {
+    active_.push_back({&customer, &state});
+  }
 }
 
 // The floor of one token is granted by the leader, which limits the number of
@@ -129,6 +141,7 @@
     return {};
   }
   State& state = found->second;
+  Activate(found->first, state);
   ++state.demand;
   if (!InContact(now) || state.closed) {
     return TakeToken(now, state);
@@ -183,6 +196,7 @@
     return;
   }
   State& state = found->second;
+  Activate(found->first, state);
   if (charge.reported) {
     --state.used;
     ReportSoon(now, kUseReportInterval);
@@ -218,9 +232,10 @@
       holds
           ? std::chrono::duration_cast<milliseconds>(lease_until_ - now).count()
           : 0;
-  for (auto& [customer, state] : customers_) {
-    const QuotaUse use{customer, std::exchange(state.demand, 0), state.used,
-                       state.counted};
+  for (const Active& active : active_) {
+    State& state = *active.state;
+    const QuotaUse use{*active.customer, std::exchange(state.demand, 0),
+                       state.used, state.counted};
     if (HasUse(use)) {
       report.uses.push_back(use);
     }
@@ -228,7 +243,7 @@
       state.share = 0.0;
     }
     if (lists_shares_ && state.share > 0.0) {
-      report.holds.push_back({customer, state.share});
+      report.holds.push_back({*active.customer, state.share});
     }
   }
   sent_at_ = now;
@@ -238,20 +253,56 @@
 }
 
 void QuotaLimiter::ApplyShares(Instant now, const QuotaGrant& grant) {
-  for (auto& [customer, state] : customers_) {
-    Settle(now, state);
+  for (const Active& active : active_) {
+    Settle(now, *active.state);
     if (grant.full) {
-      state.share = 0.0;
+      active.state->share = 0.0;
     }
   }
   for (const QuotaShare& share : grant.shares) {
     auto found = customers_.find(share.customer);
     if (found != customers_.end()) {
+      Activate(found->first, found->second);
       found->second.share = share.share;
     }
   }
 }
 
+void QuotaLimiter::ApplyClosed(Instant now,
+                               const QuotaGrant& grant,
+                               bool was_in_contact) {
+  for (const std::string& customer : grant.closed) {
+    auto found = customers_.find(customer);
+    if (found != customers_.end()) {
+      Activate(found->first, found->second);
+    }
+  }
+  for (const Active& active : active_) {
+    State& state = *active.state;
+    const bool was_open = was_in_contact && !state.closed;
+    state.closed = std::ranges::binary_search(grant.closed, *active.customer);
+    if (!state.closed) {
+      // Tokens are collected from the end of contact on. Charges that the
+      // leader may not have counted by then come from them.
+      state.tokens = -static_cast<double>(
+          std::max<std::int64_t>(0, state.used - state.counted));
+      state.tokens_at = contact_until_;
+    } else if (was_open) {
+      state.tokens = 0.0;
+      state.tokens_at = now;
+    } else {
+      state.tokens_at = std::min(state.tokens_at, now);
+      state.tokens = std::min(state.tokens, Capacity(state));
+    }
+  }
+  std::erase_if(active_, [](const Active& active) {
+    State& state = *active.state;
+    state.active = state.share > 0.0 || state.closed || state.demand > 0 ||
+                   state.used != state.counted;
+    return !state.active;
+  });
+}
+
 void QuotaLimiter::OnGrant(Instant now, const QuotaGrant& grant) {
   if (!in_flight_ || grant.report_serial != in_flight_->serial) {
     return;
@@ -280,26 +331,10 @@
       found->second.counted = use.used;
     }
   }
-  bool uses = false;
-  for (auto& [customer, state] : customers_) {
-    const bool was_open = was_in_contact && !state.closed;
-    state.closed =
-        std::ranges::find(grant.closed, customer) != grant.closed.end();
-    if (!state.closed) {
-      // Tokens are collected from the end of contact on. Charges that the
-      // leader may not have counted by then come from them.
-      state.tokens = -static_cast<double>(
-          std::max<std::int64_t>(0, state.used - state.counted));
-      state.tokens_at = contact_until_;
-    } else if (was_open) {
-      state.tokens = 0.0;
-      state.tokens_at = now;
-    } else {
-      state.tokens_at = std::min(state.tokens_at, now);
-      state.tokens = std::min(state.tokens, Capacity(state));
-    }
-    uses = uses || state.used != state.counted;
-  }
+  ApplyClosed(now, grant, was_in_contact);
+  const bool uses = std::ranges::any_of(active_, [](const Active& active) {
+    return active.state->used != active.state->counted;
+  });
   if (grant.wants_shares) {
     ReportSoon(now, Duration{});
   } else if (uses) {
