--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -97,8 +97,12 @@
   void Reject(ExchangeId exchange,
               const HttpRequest& request,
               const Error& error,
+              bool close = false,
               const std::string& customer = "");
-  void CountUnauthorized(const Error& error);
+  /// Rejects a request that Authorize has refused.
+  void RejectUnauthorized(ExchangeId exchange,
+                          const HttpRequest& request,
+                          const Error& error);
   void AfterEventBatch();
   void SetNextTimer();
   void Execute(const SearchAction& action);
--- a/src/libsnipeworks/forward_host_quota.cpp
+++ b/src/libsnipeworks/forward_host_quota.cpp
@@ -20,16 +20,18 @@
              {ErrorKind::kQuotaExceeded,
               "the quota of " + customer + " is used up",
               running.quota.retry_after},
-             customer);
+             false, customer);
       return false;
     case QuotaDecision::Outcome::kNoContact:
+      // Another host may be in contact: the caller's next connection may go
+      // there.
       Reject(running.exchange, request,
              {ErrorKind::kNotReady,
               "the use of quotas cannot be reported and this host has no share "
               "of the quota of " +
                   customer,
               running.quota.retry_after},
-             customer);
+             !quotas_.limiter().InContact(now), customer);
       return false;
   }
   return true;
