Skip late responses of a target without the request's id

What callers saw: one 200, while the order ran twice. A late copy of a 200 without its id went to the next caller.

Cause: HttpClient skipped a response only if it echoes another request's id; one without an id counted as the answer of the call in progress, and "not run" in it as a proof.

Change: ResponseMatcher, one for each address. Where an id has been echoed once, a response without it is skipped and the call waits for its own, unless it is the first call of the connection: no other request can have caused that one, so it counts, refusals included, and the connection is not used again. Targets that echo nothing are served as before. A target that seems to omit ids in refusals only (a call ends unanswered after such a response) gets each call on a connection of its own for 60 s. Requests of callers without an id go out on connections of their own. The stand-in snipe-backend refused without the id, against the protocol; it echoes it. Search parts and relayed requests go through the same client; targets of snipe-entry echo the attempt in the body, and orders and probes have their own connections.

--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -84,7 +84,9 @@
   call.timeout = command.budget + kRunMargin;
   call.connect_timeout = kConnectTimeout;
   call.other_zone = command.other_zone;
-  call.fresh_connection = command.fresh_connection;
+  // A request without an id cannot be told apart from earlier ones.
+  call.fresh_connection =
+      command.fresh_connection || request.request_id.empty();
   if (!command.repeatable) {
     call.max_idle = kMaxConnectionIdle;
   }
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -251,11 +251,17 @@
     }
     const HttpHeader& expected = transfer.call.correlation_header;
     if (!expected.name.empty()) {
-      const std::string_view value = transfer.result.Header(expected.name);
-      if (!value.empty() && value != expected.value) {
-        LOG_EVERY_T(WARNING, 1)
-            << "event=answer_of_another_call address=" << transfer.call.address;
+      const std::string_view echoed = transfer.result.Header(expected.name);
+      const ResponseMatch match = connection.pool->matcher.Match(
+          expected.value, echoed, connection.calls == 1);
+      if (match != ResponseMatch::kAnswer) {
         connection.reusable = false;
+      }
+      if (match == ResponseMatch::kForeign) {
+        LOG_EVERY_T(WARNING, 1)
+            << "event=answer_of_another_call address=" << transfer.call.address
+            << (echoed.empty() ? " id=none" : " id=other");
+        transfer.skipped_without_id |= echoed.empty();
         return SkipResponse(transfer);
       }
     }
@@ -281,7 +287,7 @@
       return;
     }
     const Instant now = MonotonicNow();
-    if (!transfer.call.fresh_connection) {
+    if (!transfer.call.fresh_connection && pool.matcher.AllowsReuse(now)) {
       while (!pool.idle.empty()) {
         HttpConnection* connection = pool.idle.back();
         if (now - connection->idle_since > transfer.call.max_idle) {
@@ -561,7 +567,7 @@
     const bool keep = connection.reusable && !extra_bytes &&
                       !connection.writing && connection.reusable_until > now &&
                       connection.generation == pool.generation &&
-                      pool.open <= pool.limit;
+                      pool.open <= pool.limit && pool.matcher.AllowsReuse(now);
     if (keep) {
       pool.idle.push_back(&connection);
     } else {
@@ -585,6 +591,7 @@
                        (transfer->call.connect_only && connection.connected);
     transfer->result.status =
         broke ? HttpCallStatus::kLost : HttpCallStatus::kNotSent;
+    NoteUnanswered(*transfer);
     transfer->connection = nullptr;
     connection.transfer = nullptr;
     const HttpCallId id = transfer->id;
@@ -592,6 +599,12 @@
     CompleteCall(id);
   }
 
+  static void NoteUnanswered(const HttpTransfer& transfer) {
+    if (transfer.skipped_without_id && transfer.connection != nullptr) {
+      transfer.connection->pool->matcher.OnUnanswered(MonotonicNow());
+    }
+  }
+
   void Close(HttpConnection& connection) {
     if (std::exchange(connection.closing, true)) {
       return;
@@ -622,6 +635,7 @@
   // Ends a call from within a caller's own call: `done` is posted to the loop.
   void EndCallLater(HttpTransfer& transfer, HttpCallStatus status) {
     transfer.result.status = status;
+    NoteUnanswered(transfer);
     ReleaseBuffered(transfer);
     if (HttpConnection* connection =
             std::exchange(transfer.connection, nullptr)) {
--- a/src/libsnipeworks/http_client_state.h
+++ b/src/libsnipeworks/http_client_state.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "response_match.h"
 #include "snipeworks/clock.h"
 #include "snipeworks/http_client.h"
 #include "status_line.h"
@@ -34,7 +35,8 @@
   HttpCallResult result;
   std::size_t received_bytes = 0;  ///< Bytes read, parsed or skipped.
   int skipped_responses = 0;  ///< Interim responses and those to other calls.
-  std::size_t buffered_bytes = 0;  ///< Approximate memory used by `result`.
+  bool skipped_without_id = false;  ///< A response that names no call.
+  std::size_t buffered_bytes = 0;   ///< Approximate memory used by `result`.
 };
 
 /// The connections to one address.
@@ -52,6 +54,7 @@
   std::vector<HttpConnection*> idle;
   std::deque<HttpCallId> waiting;
   std::vector<SilentConnections> silent;
+  ResponseMatcher matcher;  ///< For calls with a correlation header.
 
   /// `limit`, less the silent connections that the server may still count.
   std::uint32_t CurrentLimit();
--- a/src/libsnipeworks/http_client_test.cpp
+++ b/src/libsnipeworks/http_client_test.cpp
@@ -542,6 +542,38 @@
   EXPECT_EQ(bodies, (std::vector<std::string>{"1.", "2."}));
 }
 
+// Guards against late bytes without an id that were taken for the next answer,
+// as proof that a request which was running had not been run.
+TEST(HttpClients, SkipALateRefusalWithoutTheId) {
+  const auto answer = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+  };
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const ScriptedServer server(
+      {[&](const Socket& socket) {
+         RespondOnce(socket, answer("mine"));
+         RespondOnce(socket, refusal + answer("mine"));
+         EXPECT_EQ(socket.ReadAll(), "");
+       },
+       // Another connection: its first call can only get its own answer.
+       [&](const Socket& socket) {
+         RespondOnce(socket, refusal);
+         EXPECT_EQ(socket.ReadAll(), "");
+       },
+       [&](const Socket& socket) { RespondOnce(socket, answer("mine")); }});
+  HttpCall call;
+  call.correlation_header = {"Id", "mine"};
+  const auto results = CallSequentially(server.address(), 4, call);
+  EXPECT_EQ(results[0].http_status, 200);
+  EXPECT_TRUE(results[1].reused_connection);
+  EXPECT_EQ(results[1].http_status, 200);
+  EXPECT_FALSE(results[2].reused_connection);
+  EXPECT_EQ(results[2].http_status, 503);
+  EXPECT_FALSE(results[3].reused_connection);
+  EXPECT_EQ(results[3].http_status, 200);
+}
+
 TEST(HttpClients, CountTrafficToOtherZonesSeparately) {
   const ScriptedServer server({[](const Socket& socket) {
     RespondOnce(socket, kCompleteResponse);
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -101,7 +101,7 @@
 void Backend::OnRequest(ExchangeId exchange, HttpRequest request) {
   const std::string_view expected = request.Header(names_.expected_target);
   if (!expected.empty() && expected != name_) {
-    Refuse(exchange, kMisdirectedStatus);
+    Refuse(exchange, request, kMisdirectedStatus);
     return;
   }
   AcceptedRequest accepted;
@@ -116,15 +116,20 @@
   } else if (waiting_.size() < config_.queue) {
     waiting_.push_back(std::move(accepted));
   } else {
-    Refuse(exchange, kUnavailableStatus);
+    Refuse(exchange, accepted.request, kUnavailableStatus);
   }
 }
 
-void Backend::Refuse(ExchangeId exchange, int status) {
+void Backend::Refuse(ExchangeId exchange,
+                     const HttpRequest& request,
+                     int status) {
   HttpResponse response;
   response.status = status;
   response.content_type.clear();
-  response.headers = {{names_.not_run, "1"}, {names_.load, LoadHeaderValue()}};
+  response.headers = {
+      {names_.request_id, std::string(request.Header(names_.request_id))},
+      {names_.not_run, "1"},
+      {names_.load, LoadHeaderValue()}};
   listener_->SendResponse(exchange, response);
 }
 
@@ -173,7 +178,7 @@
     AcceptedRequest next = std::move(waiting_.front());
     waiting_.pop_front();
     if (MonotonicNow() >= next.deadline) {
-      Refuse(next.exchange, kUnavailableStatus);
+      Refuse(next.exchange, next.request, kUnavailableStatus);
     } else {
       StartRequest(std::move(next));
     }
--- a/src/snipe-backend/backend.h
+++ b/src/snipe-backend/backend.h
@@ -71,7 +71,7 @@
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void StartRequest(AcceptedRequest accepted);
   void EndRequest(ExchangeId exchange);
-  void Refuse(ExchangeId exchange, int status);
+  void Refuse(ExchangeId exchange, const HttpRequest& request, int status);
   void Report();
   std::string LoadHeaderValue() const;
 
