Require all fields of a target's report, and a signature of its failures

Cause: ParseReport had defaults for slots, cold time and start and did not read the version; ToFailureResponse passed on failures that no target had signed.

Change: a report has group, address, zone, version, slots, state, cold time, sequence and start, each with its type, or gets 400. An answer without the target's signature is a failed attempt and is not passed on (502), unless it says that the request was not run. The stand-ins of the tests report all fields; earlier versions of snipe-backend get 400.

Evidence: OddEntries.WithoutAMemberOrWithOneOfAnotherType and ForwardOutcomes.PassOnNoAnswerWithoutASignature fail without the checks (mutations report-members, unsigned-answer), and so does testsuite.unreadable_reports ("without slots gets 200"); all pass. The soak and testsuite/mixed_versions were not run; the latter starts targets of the earlier version, which new control hosts refuse.

--- a/src/include/snipeworks/forward_gateway.h
+++ b/src/include/snipeworks/forward_gateway.h
@@ -66,8 +66,9 @@
 
 /// The outcome of a forwarded request's call.
 ///
-/// Only a status or header of the answer proves that the request was not run. A
-/// success without the target's signature counts as a failure.
+/// Only a status or header of the answer proves that the request was not run.
+/// Any other answer without the target's signature counts as a failure, and is
+/// not passed on.
 AttemptOutcome ForwardOutcomeOf(HttpCallResult result,
                                 const ForwardNames& names);
 
--- a/src/include/snipeworks/protocol_names.h
+++ b/src/include/snipeworks/protocol_names.h
@@ -69,6 +69,7 @@
   std::string group = "group";
   std::string address = "address";
   std::string zone = "zone";
+  std::string version = "version";  ///< Of the target's software.
   std::string slots = "slots";
   std::string state = "state";
   std::string serving = "serving";    ///< Value of `state`.
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -78,13 +78,25 @@
   }
 
   std::uint64_t Unsigned(const std::string& name) {
-    if (Find(name) == nullptr) {
-      AddError(name, "is missing");
-      return 0;
-    }
+    RequireMember(name);
     return UnsignedOr(name, 0);
   }
 
+  std::uint64_t Whole(const std::string& name) {
+    const std::uint64_t whole = Unsigned(name);
+    const json* value = Find(name);
+    if (ok() && value->is_number_float() &&
+        value->get<double>() != static_cast<double>(whole)) {
+      AddError(name, "must be a whole number");
+    }
+    return whole;
+  }
+
+  std::uint32_t Unsigned32(const std::string& name) {
+    RequireMember(name);
+    return Unsigned32Or(name, 0);
+  }
+
   std::uint32_t Unsigned32Or(const std::string& name, std::uint32_t fallback) {
     const std::uint64_t value = UnsignedOr(name, fallback);
     if (value > std::numeric_limits<std::uint32_t>::max()) {
@@ -107,6 +119,12 @@
     return *value;
   }
 
+  void RequireMember(const std::string& name) {
+    if (Find(name) == nullptr) {
+      AddError(name, "is missing");
+    }
+  }
+
   void AddError(const std::string& name, const std::string& reason) {
     if (error_.empty()) {
       error_ = path_ + name + ": " + reason;
@@ -307,16 +325,19 @@
   if (!document) {
     return tl::unexpected(document.error());
   }
+  // What another writer sends may lack members: defaults for them would make
+  // its address a target.
   MemberReader reader(*document, "");
   Announcement announcement;
   announcement.target = target;
   announcement.group = reader.String(names.group);
   announcement.address = reader.String(names.address);
   announcement.zone = reader.String(names.zone);
-  announcement.slots = std::max(1U, reader.Unsigned32Or(names.slots, 1));
-  announcement.cold_ms = reader.Unsigned32Or(names.cold_ms, 0);
+  reader.String(names.version);
+  announcement.slots = std::max(1U, reader.Unsigned32(names.slots));
+  announcement.cold_ms = reader.Unsigned32(names.cold_ms);
   announcement.sequence = reader.Unsigned(names.sequence);
-  announcement.incarnation = reader.UnsignedOr(names.incarnation, 0);
+  announcement.incarnation = reader.Whole(names.incarnation);
   const std::string state = reader.String(names.state);
   if (state == names.draining) {
     announcement.state = TargetState::kDraining;
--- a/src/libsnipeworks/control_calls_test.cpp
+++ b/src/libsnipeworks/control_calls_test.cpp
@@ -3,6 +3,8 @@
 #include <sys/resource.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -11,7 +13,7 @@
 
 std::string Report(const std::string& sequence, const std::string& extra = "") {
   return R"({"group":"g","address":"10.0.0.1:80","zone":"z","state":"serving",)"
-         R"("slots":2,"sequence":)" +
+         R"("version":"1","slots":2,"cold_ms":0,"incarnation":1,"sequence":)" +
          sequence + extra + "}";
 }
 
@@ -101,8 +103,9 @@
   const auto is_valid = [](const std::string& group, const std::string& zone,
                            const std::string& address) {
     return ParseReport("t",
-                       R"({"state":"serving","sequence":1,"group":")" + group +
-                           R"(","zone":")" + zone + R"(","address":")" +
+                       R"({"state":"serving","sequence":1,"version":"1",)"
+                       R"("slots":1,"cold_ms":0,"incarnation":1,"group":")" +
+                           group + R"(","zone":")" + zone + R"(","address":")" +
                            address + "\"}",
                        ReportNames())
         .has_value();
@@ -119,11 +122,45 @@
        {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999",
         "10.0.0.256:80", "10.0.0.1", "host:80", "10.0.0.1:80 "}) {
     const std::string body =
-        R"({"group":"g","zone":"z","state":"serving","sequence":1,"address":")" +
+        R"({"group":"g","zone":"z","state":"serving","sequence":1,"version":"1",)"
+        R"("slots":1,"cold_ms":0,"incarnation":1,"address":")" +
         std::string(address) + "\"}";
     EXPECT_FALSE(ParseReport("t", body, ReportNames())) << address;
   }
 }
 
+// Guards against reports of another writer that lack members: the defaults for
+// them made its address a target.
+TEST(OddEntries, WithoutAMemberOrWithOneOfAnotherType) {
+  const std::vector<std::pair<std::string, std::string>> members = {
+      {"group", R"("g")"},   {"address", R"("10.0.0.1:80")"},
+      {"zone", R"("z")"},    {"state", R"("serving")"},
+      {"version", R"("1")"}, {"slots", "2"},
+      {"cold_ms", "0"},      {"sequence", "1"},
+      {"incarnation", "1"}};
+  // Leaves `without` out if `value` is empty, and sets it to `value` otherwise.
+  const auto is_valid = [&](const std::string& without,
+                            const std::string& value) {
+    std::string body;
+    for (const auto& [name, usual] : members) {
+      const std::string& text = name == without ? value : usual;
+      if (!text.empty()) {
+        body += (body.empty() ? "{\"" : ",\"") + name + "\":" + text;
+      }
+    }
+    return ParseReport("t", body + "}", ReportNames()).has_value();
+  };
+  EXPECT_TRUE(is_valid("none", ""));
+  for (const auto& [name, usual] : members) {
+    EXPECT_FALSE(is_valid(name, "")) << name;
+    for (const char* value : {"null", "true", "[]", "{}"}) {
+      EXPECT_FALSE(is_valid(name, value)) << name << value;
+    }
+    const bool is_text = usual.starts_with('"');
+    EXPECT_FALSE(is_valid(name, is_text ? "1" : R"("1")")) << name;
+  }
+  EXPECT_FALSE(is_valid("incarnation", "1.5"));
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -198,7 +198,8 @@
   answer->signature = std::string(result.Header(names.signature));
   const bool success = result.http_status >= 200 && result.http_status < 300;
   outcome.status = success ? AttemptStatus::kAnswered : AttemptStatus::kFailed;
-  if (success && answer->signature.empty()) {
+  // Something else may listen at the address of a target.
+  if (answer->signature.empty()) {
     outcome.status = AttemptStatus::kFailed;
     return outcome;
   }
--- a/src/libsnipeworks/forward_gateway_test.cpp
+++ b/src/libsnipeworks/forward_gateway_test.cpp
@@ -66,6 +66,26 @@
   EXPECT_EQ(limit_of(421, {{"Snipe-Request-Limit", "3"}}), std::nullopt);
 }
 
+// Guards against a page of another server, at an address that was reported as a
+// target's, that callers got as the answer of the target.
+TEST(ForwardOutcomes, PassOnNoAnswerWithoutASignature) {
+  const ForwardNames names;
+  for (int status : {200, 301, 404, 429, 500, 503}) {
+    const AttemptOutcome unsigned_answer =
+        ForwardOutcomeOf(AnsweredCall(status, {}), names);
+    EXPECT_EQ(unsigned_answer.status, AttemptStatus::kFailed) << status;
+    EXPECT_EQ(unsigned_answer.answer, nullptr) << status;
+    EXPECT_NE(ForwardOutcomeOf(AnsweredCall(status, {{"Snipe-Signature", "s"}}),
+                               names)
+                  .answer,
+              nullptr)
+        << status;
+  }
+  EXPECT_EQ(ForwardOutcomeOf(AnsweredCall(404, {{"Snipe-Not-Run", "1"}}), names)
+                .status,
+            AttemptStatus::kShed);
+}
+
 TEST(ForwardOutcomes, KeepRetryAfterWithoutProofOfNoRun) {
   const ForwardNames names;
   HttpCallResult refused = AnsweredCall(503, {});
--- a/src/libsnipeworks/routing_test.cpp
+++ b/src/libsnipeworks/routing_test.cpp
@@ -87,7 +87,7 @@
   request.method = "POST";
   request.path = "/v1/targets/t-1/report";
   request.body = R"({"group":"a","address":"10.0.0.1:80","zone":"z","slots":2,
-    "state":"draining","sequence":4,"incarnation":99,"cold_ms":10})";
+    "state":"draining","sequence":4,"incarnation":99,"cold_ms":10,"version":"1"})";
   auto report = DecodeControlCall(request, names);
   ASSERT_TRUE(report);
   const Announcement& announcement =
@@ -109,18 +109,26 @@
 // A report with a missing, mistyped or invalid field must not register a
 // target.
 TEST(ControlCalls, RejectMalformedReports) {
-  for (const char* body :
-       {"", "{}", "\xff", R"({"group":7,"address":"10.0.0.1:80","zone":"z",
+  const std::string rest =
+      R"("version":"1","slots":1,"cold_ms":0,"incarnation":1,"zone":"z",)";
+  for (const std::string& body :
+       {std::string(), std::string("{}"), std::string("\xff"),
+        "{" + rest + R"("group":7,"address":"10.0.0.1:80",
         "state":"serving","sequence":1})",
-        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"asleep",
-        "sequence":1})",
-        R"({"group":"a","address":"nowhere","zone":"z","state":"serving",
-        "sequence":1})",
-        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"serving"})",
-        R"({"group":"a","address":"10.0.0.1:80","zone":"z","state":"serving",
-        "sequence":-1})"}) {
+        "{" + rest + R"("group":"a","address":"10.0.0.1:80",
+        "state":"asleep","sequence":1})",
+        "{" + rest + R"("group":"a","address":"nowhere",
+        "state":"serving","sequence":1})",
+        "{" + rest + R"("group":"a","address":"10.0.0.1:80",
+        "state":"serving"})",
+        "{" + rest + R"("group":"a","address":"10.0.0.1:80",
+        "state":"serving","sequence":-1})"}) {
     EXPECT_FALSE(ParseReport("t", body, ReportNames())) << body;
   }
+  EXPECT_TRUE(ParseReport("t",
+                          "{" + rest + R"("group":"a","address":"10.0.0.1:80",
+        "state":"serving","sequence":1})",
+                          ReportNames()));
 }
 
 TEST(Planners, SplitByWeightOverEveryFewRequests) {
--- a/src/snipe-backend/backend.cpp
+++ b/src/snipe-backend/backend.cpp
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kUnavailableStatus = 503;
+constexpr char kSoftwareVersion[] = "1";
 constexpr int kCrashExitCode = 3;
 constexpr int kMisdirectedStatus = 421;
 constexpr Duration kReportTimeout = milliseconds(1000);
@@ -201,8 +202,10 @@
       nlohmann::json{{names.group, config_.group},
                      {names.address, config_.reported_address.ToString()},
                      {names.zone, config_.zone},
+                     {names.version, kSoftwareVersion},
                      {names.slots, config_.slots},
                      {names.state, draining_ ? names.draining : names.serving},
+                     {names.cold_ms, 0},
                      {names.sequence, ++sequence_},
                      {names.incarnation, incarnation_}}
           .dump();
--- a/testsuite/scripted_target.py
+++ b/testsuite/scripted_target.py
@@ -31,8 +31,8 @@
         self.sequence += 1
         return http("POST", f"{control}:8000", f"/v1/targets/{self.name}/report", {
             "group": self.group, "address": f"{self.address}:{self.port}", "zone": self.zone,
-            "slots": self.slots, "state": state, "cold_ms": 0, "sequence": sequence or self.sequence,
-            "incarnation": self.incarnation}, timeout=1.0)[0]
+            "version": "1", "slots": self.slots, "state": state, "cold_ms": 0,
+            "sequence": sequence or self.sequence, "incarnation": self.incarnation}, timeout=1.0)[0]
 
     def keep_reporting(self, controls):
         def loop():
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -196,7 +196,8 @@
         """Reports targets whose names are not text."""
         rng = random.Random(f"other writer {self.seed}")
         report = json.dumps({"group": "part-1", "address": "127.0.0.1:9", "zone": "zone-1",
-                             "state": "serving", "sequence": 1, "incarnation": 1}).encode()
+                             "version": "1", "slots": 1, "state": "serving", "cold_ms": 0,
+                             "sequence": 1, "incarnation": 1}).encode()
         while time.time() < self.end:
             name = b"\xff" + bytes(rng.choices(range(0x80, 0x100), k=rng.randint(1, 12)))
             status = raw_call(f"{rng.choice(self.deployment.controls)}:8000", b"POST",
@@ -368,7 +369,8 @@
                 for control in self.deployment.controls:
                     status = http("POST", f"{control}:8000", f"/v1/targets/{name}/report", {
                         "group": event["group"], "address": event["address"], "zone": zone,
-                        "state": "serving", "sequence": sequence,
+                        "version": "1", "slots": 1, "state": "serving", "cold_ms": 0,
+                        "sequence": sequence,
                         "incarnation": event["incarnation"]}, timeout=0.3)[0]
                     self.count("late reports", 1 if status == 200 else 0)
 
--- a/testsuite/unreadable_reports/run.py
+++ b/testsuite/unreadable_reports/run.py
@@ -16,12 +16,19 @@
 
 # Not UTF-8, an overlong form, a surrogate, a cut sequence, a control character of Latin-1.
 NAMES = [b"i-\xff\xfe", b"\xc0\xaf", b"\xed\xa0\x80", b"a\xc3", b"\x85", b"\xf8\x88\x80\x80\x80"]
-REPORT = {"group": "part-1", "address": "127.0.0.1:9", "zone": "zone-1", "slots": 1,
-          "state": "serving", "cold_ms": 0, "sequence": 1, "incarnation": 1}
+REPORT = {"group": "part-1", "address": "127.0.0.1:9", "zone": "zone-1", "version": "1",
+          "slots": 1, "state": "serving", "cold_ms": 0, "sequence": 1, "incarnation": 1}
 
 
 def odd_reports():
-    """Bodies of reports with a field that is no text, no address, or of another type."""
+    """Bodies of reports with a field that is missing, no text, no address, or of another type."""
+    for field in REPORT:
+        yield json.dumps({name: value for name, value in REPORT.items() if name != field}).encode()
+    for field, value in itertools.product(
+            ("slots", "cold_ms", "sequence", "incarnation"), ("1", -1, True, [], None)):
+        yield json.dumps({**REPORT, field: value}).encode()
+    for value in (7, True, [], None):
+        yield json.dumps({**REPORT, "version": value}).encode()
     for field, value in itertools.product(
             ("group", "address", "zone", "state"),
             ("\u0000", "a\r\nX: y", "127.0.0.1\u0000\r\nX: y:9", 7, [], {}, None, "")):
