Let targets of groups that no route names displace nobody

Cause: an address belongs to the target that started there last, whatever its group.

Change: TargetDirectory::SetRoutedGroups. Only targets of groups that a route names compete for an address; others are known and displace nobody, and when a route names their group, addresses are settled at once without another report. A report that moves a serving target to a group that no route names is rejected as another writer's. Directories' fixture routes the two groups of its tests, since address reuse is settled among routed groups only.

--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -82,6 +82,7 @@
     std::uint64_t acked_evidence_serial = 0;
   };
 
+  void UpdateRoutedGroups(Instant now, const Routing& routing);
   void Propagate(const Announcement& announcement);
   void OnTargetChange(const Announcement& announcement, const char* source);
   void ApplyDraining(const Announcement& announcement);
@@ -106,6 +107,7 @@
   Duration lease_;
   std::function<ControlView()> view_;
   TargetDirectory directory_;
+  std::uint64_t routed_version_ = 0;  ///< Routes that `directory_` knows.
   ConditionAggregator conditions_;
   EvidenceStore evidence_;
   std::uint64_t epoch_;
--- a/src/include/snipeworks/target_directory.h
+++ b/src/include/snipeworks/target_directory.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,9 +27,14 @@
   /// A target counts as gone after `lease` without a report.
   explicit TargetDirectory(Duration lease);
 
+  /// Sets the groups that routes name. Targets of other groups displace nobody:
+  /// not the target at their address, and not the one whose name they use.
+  void SetRoutedGroups(Instant now, std::set<std::string> groups);
+
   /// Applies a report that arrived now. A report that changes the group, zone
   /// or address within an incarnation comes from another writer and is rejected
-  /// as kStale. One of a start that has departed counts as draining.
+  /// as kStale, and so is one that would move a serving target to a group that
+  /// no route names. One of a start that has departed counts as draining.
   AnnounceResult Apply(Instant now, const Announcement& announcement);
 
   /// Records that a target accepts no more work. Returns false if the target is
@@ -67,7 +73,12 @@
   void RecordChange(const std::string& target);
   void ResolveAddressReuse(Instant now, const Announcement& announcement);
 
+  bool IsRouted(const Announcement& announcement) const {
+    return routed_groups_.contains(announcement.group);
+  }
+
   Duration lease_;
+  std::set<std::string> routed_groups_;
   TargetView view_;
   DepartureSet departures_;
   /// By the time at which they were learned of, oldest first.
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string>
 #include <utility>
 
 #include <xxhash.h>
@@ -73,7 +75,7 @@
   }
   // A report of another writer that was rejected says nothing of the target.
   const bool rejected = known != nullptr &&
-                        known->incarnation == announcement.incarnation &&
+                        known->incarnation <= announcement.incarnation &&
                         known->state == TargetState::kServing;
   if (announcement.state == TargetState::kServing || rejected) {
     return std::nullopt;
@@ -106,6 +108,21 @@
   }
 }
 
+void ControlMembership::UpdateRoutedGroups(Instant now,
+                                           const Routing& routing) {
+  if (std::exchange(routed_version_, routing.version) == routing.version) {
+    return;
+  }
+  std::set<std::string> groups;
+  for (const Route& route : routing.routes) {
+    groups.insert(route.shards.begin(), route.shards.end());
+    for (const WeightedGroup& weighted : route.groups) {
+      groups.insert(weighted.group);
+    }
+  }
+  directory_.SetRoutedGroups(now, std::move(groups));
+}
+
 void ControlMembership::Propagate(const Announcement& announcement) {
   for (auto& [address, peer] : other_hosts_) {
     peer.heartbeats.erase(announcement.target);
@@ -398,6 +415,7 @@
   entry_host_registry_.RecordContact(
       now, {request->host, request->zone, request->relay_address});
   const ControlView view = view_();
+  UpdateRoutedGroups(now, *view.routing);
   if (HasUpdates(now, *request, view)) {
     reply(Encode(MakeReply(*request, view)));
     return;
@@ -416,6 +434,7 @@
     return;
   }
   const ControlView view = view_();
+  UpdateRoutedGroups(now, *view.routing);
   std::erase_if(pending_watches_, [&](const PendingWatch& watch) {
     const bool due = now >= watch.until || HasUpdates(now, watch.request, view);
     if (due) {
@@ -435,6 +454,7 @@
 void ControlMembership::Tick() {
   const Instant now = MonotonicNow();
   const ControlView view = view_();
+  UpdateRoutedGroups(now, *view.routing);
   for (const std::string& address : view.control_hosts) {
     if (address != address_) {
       other_hosts_.try_emplace(address);
--- a/src/libsnipeworks/target_directory.cpp
+++ b/src/libsnipeworks/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/target_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -18,6 +19,25 @@
 TargetDirectory::TargetDirectory(Duration lease)
     : lease_(lease), view_(kUnboundedLease) {}
 
+// Groups report before a route names them. Their targets are known from their
+// first report on, and get their addresses once they are routed.
+void TargetDirectory::SetRoutedGroups(Instant now,
+                                      std::set<std::string> groups) {
+  const std::set<std::string> before =
+      std::exchange(routed_groups_, std::move(groups));
+  std::vector<Announcement> added;
+  for (const Announcement* target : view_.All()) {
+    if (target->state != TargetState::kGone && IsRouted(*target) &&
+        !before.contains(target->group)) {
+      added.push_back(*target);
+    }
+  }
+  std::ranges::sort(added, {}, &Announcement::incarnation);
+  for (const Announcement& target : added) {
+    ResolveAddressReuse(now, target);
+  }
+}
+
 AnnounceResult TargetDirectory::Apply(Instant now,
                                       const Announcement& reported) {
   Announcement announcement = reported;
@@ -33,6 +53,10 @@
                            known->zone != announcement.zone)) {
     return AnnounceResult::kStale;
   }
+  if (known != nullptr && known->state == TargetState::kServing &&
+      IsRouted(*known) && !IsRouted(announcement)) {
+    return AnnounceResult::kStale;
+  }
   const bool change = !same_incarnation || known->state != announcement.state;
   const TargetState previous_state = known ? known->state : TargetState::kGone;
   if (!view_.Merge(now, announcement)) {
@@ -52,17 +76,22 @@
   return AnnounceResult::kChange;
 }
 
-// An address belongs to the target that started there most recently.
+// An address belongs to the target that started there most recently, of those
+// whose group is routed: a report for any other group may come from a writer
+// that lists addresses of targets as its own.
 void TargetDirectory::ResolveAddressReuse(Instant now,
                                           const Announcement& announcement) {
+  if (!IsRouted(announcement)) {
+    return;
+  }
   std::string& holder = target_by_address_[announcement.address];
   if (holder == announcement.target) {
     return;
   }
   const Announcement* other = holder.empty() ? nullptr : view_.Find(holder);
-  const bool other_active = other != nullptr &&
-                            other->address == announcement.address &&
-                            other->state != TargetState::kGone;
+  const bool other_active =
+      other != nullptr && other->address == announcement.address &&
+      IsRouted(*other) && other->state != TargetState::kGone;
   if (other_active && other->incarnation > announcement.incarnation) {
     Announcement late_report = announcement;
     late_report.state = TargetState::kGone;
--- a/src/libsnipeworks/target_directory_test.cpp
+++ b/src/libsnipeworks/target_directory_test.cpp
@@ -10,6 +10,8 @@
 
 class Directories : public ::testing::Test {
  protected:
+  Directories() { directory.SetRoutedGroups(now, {"g", "other"}); }
+
   Announcement MakeAnnouncement(const std::string& target,
                                 std::uint64_t incarnation,
                                 std::uint64_t sequence) {
@@ -107,6 +109,56 @@
   EXPECT_EQ(StateOf("old"), TargetState::kGone);
 }
 
+// Guards against reports of another writer, for a group of its own, that put
+// the targets at the addresses in them out of use.
+TEST_F(Directories, KeepAnAddressForTheGroupThatIsRouted) {
+  Announcement foreign = MakeAnnouncement("foreign", 9, 1);
+  foreign.group = "unrouted";
+  directory.Apply(now, MakeAnnouncement("a", 1, 1));
+  directory.Apply(now, foreign);
+  EXPECT_EQ(StateOf("a"), TargetState::kServing);
+  directory.Apply(now, MakeAnnouncement("a", 1, 2));
+  EXPECT_EQ(StateOf("a"), TargetState::kServing);
+
+  // The foreign reports arrive first, as after a restart of this host.
+  TargetDirectory restarted(seconds(6));
+  restarted.Apply(now, foreign);
+  restarted.Apply(now, MakeAnnouncement("a", 1, 3));
+  restarted.SetRoutedGroups(now, {"g"});
+  EXPECT_EQ(restarted.view().Find("a")->state, TargetState::kServing);
+}
+
+TEST_F(Directories, KeepANameForTheGroupThatIsRouted) {
+  directory.Apply(now, MakeAnnouncement("a", 1, 1));
+  Announcement foreign = MakeAnnouncement("a", 9, 1);
+  foreign.group = "unrouted";
+  EXPECT_EQ(directory.Apply(now, foreign), AnnounceResult::kStale);
+  EXPECT_EQ(directory.view().Find("a")->group, "g");
+  // The target has ended: its name may be used by another one.
+  now += seconds(7);
+  directory.ExpireLeases(now);
+  EXPECT_EQ(directory.Apply(now, foreign), AnnounceResult::kChange);
+}
+
+// Guards against a new group whose targets wait for their next reports after
+// the routes name it.
+TEST_F(Directories, GiveAddressesToAGroupOnceItIsRouted) {
+  directory.Apply(now, MakeAnnouncement("a", 1, 1));
+  Announcement next = MakeAnnouncement("b", 2, 1);
+  next.group = "next";
+  Announcement elsewhere = MakeAnnouncement("c", 2, 1);
+  elsewhere.group = "next";
+  elsewhere.address = "10.0.0.2:80";
+  directory.Apply(now, next);
+  directory.Apply(now, elsewhere);
+  const std::uint64_t before = directory.serial();
+  directory.SetRoutedGroups(now, {"g", "other", "next"});
+  EXPECT_EQ(StateOf("a"), TargetState::kGone);
+  EXPECT_EQ(StateOf("b"), TargetState::kServing);
+  EXPECT_EQ(StateOf("c"), TargetState::kServing);
+  EXPECT_EQ(directory.ChangesSince(before).size(), 1U);
+}
+
 // A report that carries the name of a healthy target but comes from another
 // writer.
 TEST_F(Directories, RejectAChangeOfGroupOrAddressWithinAnIncarnation) {
