--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -84,7 +84,9 @@
   call.timeout = command.budget + kRunMargin;
   call.connect_timeout = kConnectTimeout;
   call.other_zone = command.other_zone;
-  call.fresh_connection = command.fresh_connection;
+  // A request without an id cannot be told apart from earlier ones.
+  call.fresh_connection =
+      command.fresh_connection || request.request_id.empty();
   if (!command.repeatable) {
     call.max_idle = kMaxConnectionIdle;
   }
@@ -196,7 +198,8 @@
   answer->signature = std::string(result.Header(names.signature));
   const bool success = result.http_status >= 200 && result.http_status < 300;
   outcome.status = success ? AttemptStatus::kAnswered : AttemptStatus::kFailed;
-  if (success && answer->signature.empty()) {
+  // Something else may listen at the address of a target.
+  if (answer->signature.empty()) {
     outcome.status = AttemptStatus::kFailed;
     return outcome;
   }
