--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -164,6 +164,8 @@
   Term term() const { return vote_.term; }
   const std::string& leader() const { return leader_; }
   LogIndex commit_index() const { return commit_; }
+  /// The last entry that the state machine contains.
+  LogIndex applied_index() const { return applied_; }
   LogIndex last_index() const;
   /// The first index that compaction has not removed.
   LogIndex first_index() const;
--- a/src/include/snipeworks/control_calls.h
+++ b/src/include/snipeworks/control_calls.h
@@ -33,12 +33,19 @@
   std::string document;  ///< The document as sent by the operator.
 };
 
+/// The operator orders that the targets of `zone` get no new work, or that they
+/// get work again.
+struct ZoneOrder {
+  std::string zone;
+  bool evacuate = false;
+};
+
 /// The operator requests the newest version of the routing document.
 struct ReadRouting {};
 
 /// A decoded call to a control host.
-using ControlCall =
-    std::variant<TargetReport, LeaveRequest, ReplaceRouting, ReadRouting>;
+using ControlCall = std::
+    variant<TargetReport, LeaveRequest, ReplaceRouting, ZoneOrder, ReadRouting>;
 
 /// Decodes a call; `names` holds the paths and member names of the deployment.
 /// Fails with kUnknownPath, or with kBadRequest and the reason.
--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -39,6 +39,8 @@
     std::function<std::vector<PoisonEvidence>()> evidence;
     /// The entry hosts that may run requests for this one.
     std::function<void(const std::vector<RelayHost>&)> on_relay_hosts;
+    /// All zones that are evacuated now.
+    std::function<void(const std::vector<EvacuatedZone>&)> on_evacuations;
   };
 
   /// `seeds` are peer addresses of control hosts that may be up.
@@ -102,6 +104,7 @@
   void SendEvidence(Instant now, const std::string& address, Source& source);
   void OnReply(const std::string& address, const PeerResult& result);
   void ApplyRouting(const WatchReply& reply);
+  void ApplyEvacuations(const WatchReply& reply);
   void CheckDigest(Instant now, Source& source, const WatchReply& reply);
 
   EventLoop& loop_;
@@ -116,6 +119,9 @@
   Instant newest_seen_at_{};
   std::uint64_t control_digest_ = 0;
   std::uint64_t relay_digest_ = 0;
+  /// Index in the control log of the newest known set of evacuated zones.
+  std::uint64_t evacuation_index_ = 0;
+  std::uint64_t evacuation_digest_ = 0;
   std::string relay_address_;
   Instant started_{};
   Instant report_due_{};
--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -26,6 +26,9 @@
 /// Empty on any other host.
 std::string FirstDiskId(const HostSettings& settings);
 
+/// The name by which control hosts know the one with `settings`.
+std::string MemberName(const HostSettings& settings);
+
 /// A control host: connects the replicated log and the membership of targets to
 /// the disk and the network.
 class ControlHost {
@@ -80,6 +83,7 @@
   void ApplyDepartures();
   void ApplyStoredDepartures();
   void OnReplace(ExchangeId exchange, const ReplaceRouting& change);
+  void OnZoneOrder(ExchangeId exchange, const ZoneOrder& order);
   void OnReadRouting(ExchangeId exchange);
   void AnswerRead(ExchangeId exchange, const ReadReply& reply);
   void ProposeUntilDecided(const std::string& command,
@@ -121,6 +125,7 @@
   std::string logged_leader_;
   bool logged_current_ = false;
   std::uint64_t logged_routing_version_ = 0;
+  std::vector<EvacuatedZone> logged_evacuations_;
   std::string logged_members_;
   std::optional<Redundancy> logged_redundancy_;
   Instant leader_known_at_{};
--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -27,6 +27,9 @@
   bool current = false;  ///< The host hears from a leader with a quorum.
   const Routing* routing = nullptr;        ///< Version 0 if there is none.
   std::vector<std::string> control_hosts;  ///< Peer addresses.
+  /// Index of the last applied entry of the log.
+  std::uint64_t applied_index = 0;
+  std::vector<EvacuatedZone> evacuated_zones;
 };
 
 /// The part of a control host that accepts reports of targets, gossips them to
--- a/src/include/snipeworks/control_messages.h
+++ b/src/include/snipeworks/control_messages.h
@@ -10,6 +10,7 @@
 #include "snipeworks/consensus_types.h"
 #include "snipeworks/entry_messages.h"
 #include "snipeworks/wire.h"
+#include "snipeworks/zone_evacuations.h"
 
 namespace snipeworks {
 
@@ -26,7 +27,14 @@
 inline constexpr std::int64_t kClaimRetentionS = std::int64_t{24} * 3600;
 
 /// The kind of a command.
-enum class CommandKind : std::uint8_t { kSettings, kClaim, kOutcome, kRouting };
+enum class CommandKind : std::uint8_t {
+  kSettings,
+  kClaim,
+  kOutcome,
+  kRouting,
+  kEvacuate,  ///< The targets of a zone get no new work.
+  kReadmit,   ///< They get work again.
+};
 
 /// The state of a claim.
 enum class ClaimState : std::uint8_t {
@@ -40,6 +48,7 @@
 enum class CommandStatus : std::uint8_t {
   kAccepted,
   kConflict,    ///< Settings: the base version is not the current one.
+                ///< Evacuation: too many zones are evacuated.
   kInvalid,     ///< Settings that cannot be parsed, or an unknown command.
   kGranted,     ///< Claim: only this owner may run the action.
   kInProgress,  ///< Claim: another owner holds it.
@@ -49,6 +58,7 @@
   kKeyExpired,  ///< Claim: the key's creation time is out of range.
   kUnknown,     ///< Outcome: there is no such claim.
   kUnchanged,   ///< Routing: the version is not above the current one.
+                ///< Evacuation: the zone is in that state already.
 };
 
 }  // namespace snipeworks
@@ -63,7 +73,7 @@
 struct ControlCommand {
   CommandKind kind = CommandKind::kSettings;
   std::int64_t time_s = 0;  ///< Set by the leader.
-  // kSettings
+  // kSettings; change_id also for kEvacuate and kReadmit
   std::string change_id;
   std::uint64_t base_version = 0;
   std::string author;
@@ -80,6 +90,8 @@
   ClaimState outcome = ClaimState::kOpen;
   std::int32_t http_status = 0;
   std::string body;
+  // kEvacuate and kReadmit
+  std::string zone;
 
   friend auto operator<=>(const ControlCommand&,
                           const ControlCommand&) = default;
@@ -90,9 +102,12 @@
   return std::tie(v.kind, v.time_s, v.change_id, v.base_version, v.author,
                   v.text, v.routing_version, v.document, v.caller, v.key,
                   v.body_hash, v.owner, v.created_s, v.outcome, v.http_status,
-                  v.body);
+                  v.body, v.zone);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<ControlCommand> = 1;
+
 /// The result of a command, identical on every host.
 struct CommandResult {
   CommandStatus status = CommandStatus::kUnknown;
@@ -138,15 +153,19 @@
   bool members_committed = false;
   std::vector<SettingsQuery>
       in_force;  ///< Settings versions that entry hosts reported.
+  std::vector<EvacuatedZone> evacuated_zones;
 };
 
 template <SameStruct<ControlStatus> S>
 auto WireFields(S& v) {
   return std::tie(v.host, v.role, v.leader, v.term, v.commit, v.last, v.first,
                   v.current, v.failed, v.settings_version, v.claims, v.members,
-                  v.members_committed, v.in_force);
+                  v.members_committed, v.in_force, v.evacuated_zones);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<ControlStatus> = 1;
+
 /// Asks the leader to add a member without a vote, or to remove a member.
 struct MembersRequest {
   bool add = false;
--- a/src/include/snipeworks/control_metrics.h
+++ b/src/include/snipeworks/control_metrics.h
@@ -24,6 +24,7 @@
   std::uint64_t routing_version = 0;
   std::uint64_t targets = 0;
   std::uint64_t departures = 0;  ///< Kept in the control log.
+  std::uint64_t evacuated_zones = 0;
   std::uint64_t entry_hosts = 0;
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
--- a/src/include/snipeworks/control_state.h
+++ b/src/include/snipeworks/control_state.h
@@ -11,6 +11,7 @@
 #include "snipeworks/consensus_node.h"
 #include "snipeworks/control_messages.h"
 #include "snipeworks/departure.h"
+#include "snipeworks/zone_evacuations.h"
 
 namespace snipeworks {
 
@@ -40,9 +41,9 @@
 }
 
 /// The replicated state of the control hosts: the fleet settings with their
-/// history, the routing document, the claims and the departures of targets. The
-/// state depends only on the sequence of commands; the time is taken from them
-/// too.
+/// history, the routing document, the claims, the departures of targets and the
+/// evacuated zones. The state depends only on the sequence of commands; the
+/// time is taken from them too.
 class ControlState : public StateMachine {
  public:
   ControlState() = default;
@@ -56,6 +57,9 @@
   /// Version 0 with empty text until a change has been accepted.
   VersionedSettings settings() const;
   const VersionedRouting& routing() const { return routing_; }
+  const std::vector<EvacuatedZone>& evacuated_zones() const {
+    return evacuations_.zones();
+  }
   /// The claims of callers.
   std::size_t claims() const { return claims_.size() - departures_; }
   std::size_t departures() const { return departures_; }
@@ -76,11 +80,13 @@
   CommandResult ApplyClaim(const ControlCommand& command);
   CommandResult ApplyOutcome(const ControlCommand& command);
   CommandResult ApplyRouting(const ControlCommand& command);
+  CommandResult ApplyEvacuation(const ControlCommand& command);
   void DeleteExpiredClaims();
   void AddClaim(const ClaimKey& key, const ClaimRecord& record);
 
   std::int64_t time_s_ = 0;
   VersionedRouting routing_;
+  ZoneEvacuations evacuations_;
   std::deque<SettingsRecord> history_;
   /// The first results of recent change ids; the ids are ordered by age, oldest
   /// first.
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -42,6 +42,8 @@
   kRoutingAccepted,
   kRoutingRejected,
   kRoutingUnanswered,
+  kZoneOrder,
+  kZoneEvacuated,
   kReadUnanswered,
   kLeading,
   kNotLeading,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -107,6 +107,7 @@
   void OnTargets(const std::vector<Announcement>& changes);
   std::vector<Announcement> DrainingTargets() const;
   void OnRouting(const Routing& routing);
+  void OnEvacuations(const std::vector<EvacuatedZone>& zones);
   void OnConditions(const std::vector<TargetCondition>& conditions);
   void LogReadiness();
   void LogTraffic(Instant now);
@@ -137,6 +138,7 @@
   /// Of relay_listener_.
   std::unordered_map<ExchangeId, RequestId> requests_by_relayed_exchange_;
   RequestId next_request_ = 1;
+  std::vector<EvacuatedZone> evacuated_zones_;
   std::uint64_t successes_ = 0;
   std::uint64_t relayed_ = 0;
   std::uint64_t relayed_here_ = 0;
--- a/src/include/snipeworks/membership_messages.h
+++ b/src/include/snipeworks/membership_messages.h
@@ -11,6 +11,7 @@
 #include "snipeworks/relay_messages.h"
 #include "snipeworks/target_condition.h"
 #include "snipeworks/wire.h"
+#include "snipeworks/zone_evacuations.h"
 
 namespace snipeworks {
 
@@ -45,6 +46,10 @@
   std::uint64_t evidence_serial = 0;
   std::string relay_address;  ///< At which the sender takes relayed requests.
   std::uint64_t relay_digest = 0;  ///< Of the known relay hosts.
+  /// WatchReply::evacuation_index of the evacuated zones that the sender knows,
+  /// and their EvacuationDigest.
+  std::uint64_t evacuation_index = 0;
+  std::uint64_t evacuation_digest = 0;
 };
 
 template <SameStruct<WatchRequest> S>
@@ -53,9 +58,12 @@
                   v.newest_seen_version, v.wants_routing,
                   v.accepts_stale_routing, v.control_digest, v.condition_serial,
                   v.known_current, v.evidence_serial, v.relay_address,
-                  v.relay_digest);
+                  v.relay_digest, v.evacuation_index, v.evacuation_digest);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<WatchRequest> = 2;
+
 struct WatchReply {
   std::string zone;         ///< Of the control host.
   std::uint64_t epoch = 0;  ///< Changes with each start of the host.
@@ -77,6 +85,10 @@
   std::uint64_t relay_digest = 0;
   /// Entry hosts that may run requests for the watcher, if they have changed.
   std::vector<RelayHost> relay_hosts;
+  /// Index in the control log of the state that `evacuated_zones` is from; 0 if
+  /// the reply says nothing of evacuations.
+  std::uint64_t evacuation_index = 0;
+  std::vector<EvacuatedZone> evacuated_zones;  ///< All of them.
 };
 
 template <SameStruct<WatchReply> S>
@@ -85,9 +97,13 @@
                   v.routing_version, v.routing, v.routing_change, v.current,
                   v.entry_hosts, v.control_digest, v.control_hosts,
                   v.condition_serial, v.conditions, v.evidence_serial,
-                  v.evidence, v.relay_digest, v.relay_hosts);
+                  v.evidence, v.relay_digest, v.relay_hosts, v.evacuation_index,
+                  v.evacuated_zones);
 }
 
+template <>
+inline constexpr std::size_t kOptionalWireFields<WatchReply> = 2;
+
 /// A report that only renews the lease of a target.
 struct Heartbeat {
   std::string target;
--- a/src/include/snipeworks/protocol_names.h
+++ b/src/include/snipeworks/protocol_names.h
@@ -86,6 +86,9 @@
   std::string leave_suffix = "/leave";
   std::string replace_path = "/v1/routing/replace";
   std::string read_path = "/v1/routing";
+  std::string evacuation_prefix = "/v1/zones/";  ///< Before a zone's name.
+  std::string evacuate_suffix = "/evacuate";
+  std::string readmit_suffix = "/readmit";
   ReportNames report;
   RoutingNames routing;
 };
--- a/src/include/snipeworks/search.h
+++ b/src/include/snipeworks/search.h
@@ -68,9 +68,11 @@
   kWrongSnapshot,
   kFailed,
   kOverloaded,  ///< Not run, as it would have come too late.
+  kEvacuated,   ///< The targets that are left are in evacuated zones.
 };
 
-/// "late", "refused", "no-target", "wrong-snapshot", "failed" or "overloaded".
+/// "late", "refused", "no-target", "wrong-snapshot", "failed", "overloaded" or
+/// "evacuated".
 const char* ToString(MissingReason reason);
 
 /// A part that is missing from an answer.
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -168,6 +168,10 @@
                           const Announcement& announcement,
                           Duration age = {});
 
+  /// From now on targets of `zones` get no new work, and those of other zones
+  /// may. Attempts that run at a target are left to finish.
+  void SetEvacuatedZones(std::vector<std::string> zones);
+
   /// Submits a search. FinishSearch follows, immediately if it is refused.
   void Submit(Instant now, const SearchRequest& request);
   /// Cancels the search of a caller that has disconnected; no answer follows.
--- a/src/include/snipeworks/target_view.h
+++ b/src/include/snipeworks/target_view.h
@@ -68,6 +68,17 @@
   /// How long ago this host heard the newest announcement of `target`.
   std::optional<Duration> Age(Instant now, std::string_view target) const;
 
+  /// Targets of these zones get no new work.
+  void SetEvacuatedZones(std::vector<std::string> zones) {
+    evacuated_zones_ = std::move(zones);
+  }
+  const std::vector<std::string>& evacuated_zones() const {
+    return evacuated_zones_;
+  }
+  /// True if a target of `group` would get new work if its zone were not
+  /// evacuated.
+  bool HasEvacuated(Instant now, std::string_view group) const;
+
   /// A digest of everything known except sequences and load: hosts with equal
   /// digests know the same targets.
   std::uint64_t Digest() const { return digest_; }
@@ -89,6 +100,8 @@
     std::uint64_t digest = 0;
   };
 
+  bool IsServing(Instant now, const Record& record) const;
+  bool IsEvacuated(const Record& record) const;
   bool IsUsable(Instant now, const Record& record) const;
 
   void Replace(Record& record,
@@ -101,6 +114,7 @@
   /// The combined digests of all records, updated with each change.
   std::uint64_t digest_ = 0;
   StringMap<Record> records_;
+  std::vector<std::string> evacuated_zones_;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -1,8 +1,10 @@
 #include "snipeworks/control_calls.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -269,6 +271,51 @@
                                                   : std::string();
 }
 
+// Returns the bytes that `text` stands for; nothing if an escape is malformed.
+std::optional<std::string> DecodePercent(std::string_view text) {
+  std::string bytes;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      bytes += text[i];
+      continue;
+    }
+    unsigned value = 0;
+    const std::string_view digits = text.substr(i + 1, 2);
+    const char* const end = digits.data() + digits.size();
+    const auto [parsed, error] = std::from_chars(digits.data(), end, value, 16);
+    if (digits.size() < 2 || error != std::errc() || parsed != end) {
+      return std::nullopt;
+    }
+    bytes += static_cast<char>(value);
+    i += 2;
+  }
+  return bytes;
+}
+
+// Decodes an order about a zone if `path` is that of one.
+std::optional<Result<ZoneOrder>> DecodeZoneOrder(std::string_view path,
+                                                 const ControlNames& names) {
+  if (!path.starts_with(names.evacuation_prefix)) {
+    return std::nullopt;
+  }
+  path.remove_prefix(names.evacuation_prefix.size());
+  const bool evacuate = path.ends_with(names.evacuate_suffix);
+  if (!evacuate && !path.ends_with(names.readmit_suffix)) {
+    return std::nullopt;
+  }
+  path.remove_suffix(evacuate ? names.evacuate_suffix.size()
+                              : names.readmit_suffix.size());
+  const std::optional<std::string> zone = DecodePercent(path);
+  if (!zone || path.find('/') != std::string_view::npos) {
+    return Result<ZoneOrder>(
+        Fail(ErrorKind::kBadRequest, "zone: must be one path segment"));
+  }
+  if (auto valid = ValidateName("zone", *zone); !valid) {
+    return Result<ZoneOrder>(tl::unexpected(valid.error()));
+  }
+  return Result<ZoneOrder>(ZoneOrder{*zone, evacuate});
+}
+
 }  // namespace
 
 Result<Routing> ParseRouting(std::string_view text, const RoutingNames& names) {
@@ -357,6 +404,10 @@
           .map(
               [](LeaveRequest leave) { return ControlCall(std::move(leave)); });
     }
+    if (auto order = DecodeZoneOrder(request.path, names)) {
+      return order->map(
+          [](ZoneOrder decoded) { return ControlCall(std::move(decoded)); });
+    }
     if (replaces) {
       return ParseRouting(request.body, names.routing)
           .map([&](Routing routing) {
--- a/src/libsnipeworks/control_calls_test.cpp
+++ b/src/libsnipeworks/control_calls_test.cpp
@@ -125,5 +125,26 @@
   }
 }
 
+TEST(ZoneOrders, AreReadFromTheirPath) {
+  const auto decode = [](const std::string& path) {
+    return DecodeControlCall(PostOf(path, ""), ControlNames());
+  };
+  const auto start = decode("/v1/zones/zone%201/evacuate");
+  ASSERT_TRUE(start);
+  EXPECT_EQ(std::get<ZoneOrder>(*start).zone, "zone 1");
+  EXPECT_TRUE(std::get<ZoneOrder>(*start).evacuate);
+  const auto end = decode("/v1/zones/zone-1/readmit");
+  ASSERT_TRUE(end);
+  EXPECT_FALSE(std::get<ZoneOrder>(*end).evacuate);
+  const std::string too_long(300, 'z');
+  for (const std::string zone :
+       {"", "a/b", "%0a", "%zz", "a%4", "%ff", too_long.c_str()}) {
+    const auto call = decode("/v1/zones/" + zone + "/evacuate");
+    ASSERT_FALSE(call) << zone;
+    EXPECT_EQ(call.error().kind, ErrorKind::kBadRequest) << zone;
+  }
+  EXPECT_EQ(decode("/v1/zones/a/leave").error().kind, ErrorKind::kUnknownPath);
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -209,6 +209,8 @@
   request.known_current = source.current;
   request.relay_address = relay_address_;
   request.relay_digest = relay_digest_;
+  request.evacuation_index = evacuation_index_;
+  request.evacuation_digest = evacuation_digest_;
   peers_.Call(
       address, kControlWatchPath, Encode(request), kWatchTimeout,
       [this, address](const PeerResult& result) { OnReply(address, result); });
@@ -264,6 +266,8 @@
   for (const EvidenceMessage& item : reply->evidence) {
     handlers_.on_evidence(item.ToEvidence());
   }
+  // Before the targets and the routing, with which this host may be ready.
+  ApplyEvacuations(*reply);
   if (!reply->conditions.empty()) {
     handlers_.on_conditions(reply->conditions);
   }
@@ -288,6 +292,16 @@
   Tick();
 }
 
+// Replies of several control hosts may overtake each other.
+void ControlFeed::ApplyEvacuations(const WatchReply& reply) {
+  if (reply.evacuation_index <= evacuation_index_) {
+    return;
+  }
+  evacuation_index_ = reply.evacuation_index;
+  evacuation_digest_ = EvacuationDigest(reply.evacuated_zones);
+  handlers_.on_evacuations(reply.evacuated_zones);
+}
+
 void ControlFeed::ApplyRouting(const WatchReply& reply) {
   if (reply.routing_version > newest_seen_version_) {
     newest_seen_version_ = reply.routing_version;
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -25,9 +25,6 @@
 constexpr Duration kBootstrapTimeout = milliseconds(1000);
 // How often a failed store is reopened.
 constexpr Duration kReopenInterval = milliseconds(500);
-// When the lack of a leader is logged first, and how often from then on.
-constexpr Duration kNoLeaderDelay = milliseconds(2000);
-constexpr Duration kNoLeaderLogInterval = milliseconds(5000);
 // A host whose event loop did not run for this long has missed messages that
 // its peers received.
 constexpr Duration kStallThreshold = milliseconds(1000);
@@ -55,13 +52,6 @@
   return seeds;
 }
 
-// With automatic membership, control hosts identify each other by address
-// alone.
-std::string MemberName(const HostSettings& settings) {
-  return settings.automatic_members() ? settings.peer().ToString()
-                                      : settings.host();
-}
-
 ConsensusConfig ConfigFor(const HostSettings& settings) {
   ConsensusConfig config;
   config.host = MemberName(settings);
@@ -80,6 +70,13 @@
 
 }  // namespace
 
+// With automatic membership, control hosts identify each other by address
+// alone.
+std::string MemberName(const HostSettings& settings) {
+  return settings.automatic_members() ? settings.peer().ToString()
+                                      : settings.host();
+}
+
 std::string FirstDiskId(const HostSettings& settings) {
   const std::string own = settings.peer().ToString();
   const std::vector<std::string> seeds = Seeds(settings);
@@ -212,6 +209,7 @@
            gauges.routing_version = state_.routing().version;
            gauges.targets = membership_.directory().view().All().size();
            gauges.departures = state_.departures();
+           gauges.evacuated_zones = state_.evacuated_zones().size();
            gauges.entry_hosts = membership_.entry_hosts();
            gauges.log_lines = log_.lines();
            gauges.log_lines_dropped = log_.dropped();
@@ -409,6 +407,7 @@
   status.settings_version = state_.settings().version;
   status.claims = state_.claims();
   status.failed = !node_ || node_->failed();
+  status.evacuated_zones = state_.evacuated_zones();
   for (const auto& [host, version] : settings_version_by_host_) {
     status.in_force.push_back({host, version});
   }
@@ -455,71 +454,6 @@
   log_.FlushIfDue(MonotonicNow());
 }
 
-void ControlHost::LogStateChanges() {
-  const std::string leader = node_ ? node_->leader() : "";
-  if (leader != logged_leader_) {
-    const std::string own = MemberName(settings_);
-    if (leader == own || logged_leader_ == own) {
-      log_.Write(leader == own ? EventKind::kLeading : EventKind::kNotLeading,
-                 {{"term", node_ ? node_->term() : 0}, {"leader", leader}});
-    }
-    logged_leader_ = leader;
-  }
-  const bool current = IsCurrent();
-  if (current != std::exchange(logged_current_, current)) {
-    log_.Write(
-        current ? EventKind::kCurrent : EventKind::kNotCurrent,
-        {{"leader", leader}, {"commit", node_ ? node_->commit_index() : 0}});
-  }
-  const std::uint64_t version = state_.routing().version;
-  if (version != std::exchange(logged_routing_version_, version)) {
-    log_.Write(EventKind::kRoutingInForce, {{"version", version}});
-  }
-  const std::string members = MembersText();
-  if (members != logged_members_) {
-    logged_members_ = members;
-    log_.Write(EventKind::kMembers, {{"members", members}});
-  }
-  LogRedundancy(MonotonicNow());
-}
-
-std::string ControlHost::MembersText() const {
-  std::string text;
-  if (node_) {
-    for (const Member& member : node_->members()) {
-      text += (text.empty() ? "" : " ") + member.address +
-              (member.voter ? "" : "(no vote)");
-    }
-  }
-  return text;
-}
-
-void ControlHost::LogRedundancy(Instant now) {
-  const auto redundancy = node_ ? node_->redundancy(now) : std::nullopt;
-  if (redundancy && redundancy != logged_redundancy_) {
-    log_.Write(EventKind::kRedundancy,
-               {{"voters", redundancy->voters},
-                {"answering", redundancy->answering},
-                {"quorum", redundancy->quorum},
-                {"joining", redundancy->joining},
-                {"losses_left", redundancy->losses_left()}});
-  }
-  logged_redundancy_ = redundancy;
-  if (!node_ || !node_->leader().empty()) {
-    leader_known_at_ = now;
-    no_leader_logged_at_ = now;
-  } else if (now - leader_known_at_ >= kNoLeaderDelay &&
-             (no_leader_logged_at_ == leader_known_at_ ||
-              now - no_leader_logged_at_ >= kNoLeaderLogInterval)) {
-    no_leader_logged_at_ = now;
-    log_.Write(EventKind::kNoLeader, {{"for_ms", now - leader_known_at_},
-                                      {"role", ToString(node_->role())},
-                                      {"votes", node_->votes()},
-                                      {"quorum", node_->quorum()},
-                                      {"members", MembersText()}});
-  }
-}
-
 void ControlHost::AnswerAppliedProposals() {
   for (const AppliedEntry& applied : node_->TakeApplied()) {
     auto [first, last] = pending_proposals_.equal_range(applied.index);
@@ -590,7 +524,9 @@
   ControlView view;
   view.current = IsCurrent();
   view.routing = &CurrentRouting();
+  view.evacuated_zones = state_.evacuated_zones();
   if (node_) {
+    view.applied_index = node_->applied_index();
     for (const Member& member : node_->members()) {
       view.control_hosts.push_back(member.address);
     }
--- a/src/libsnipeworks/control_host_calls.cpp
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/control_host.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -23,11 +24,12 @@
 // to another host sooner.
 constexpr Duration kProposeDeadline = std::chrono::seconds(4);
 constexpr Duration kProposeRetryDelay = milliseconds(50);
-// Targets wait for a second before they turn to another host.
-constexpr Duration kDepartureDeadline = milliseconds(800);
+// Targets wait for a second before they turn to another host, as do operators
+// for an order about a zone.
+constexpr Duration kAcknowledgeDeadline = milliseconds(800);
 // A host that has known of no quorum for longer does not wait for one.
 constexpr Duration kQuorumPatience = milliseconds(1000);
-constexpr Duration kDepartureRetryAfter = milliseconds(100);
+constexpr Duration kAcknowledgeRetryAfter = milliseconds(100);
 
 std::string StatusJson(const ControlStatus& status) {
   nlohmann::json members = nlohmann::json::array();
@@ -36,6 +38,10 @@
                        {"address", member.address},
                        {"voter", member.voter}});
   }
+  nlohmann::json evacuated = nlohmann::json::array();
+  for (const EvacuatedZone& zone : status.evacuated_zones) {
+    evacuated.push_back({{"zone", zone.zone}, {"since_s", zone.since_s}});
+  }
   const nlohmann::json document = {
       {"host", status.host},
       {"role", status.role},
@@ -49,10 +55,16 @@
       {"settings_version", status.settings_version},
       {"members_committed", status.members_committed},
       {"claims", status.claims},
+      {"evacuated_zones", std::move(evacuated)},
       {"members", std::move(members)}};
   return WriteJson(document) + "\n";
 }
 
+std::string NewOrderId() {
+  std::random_device device;
+  return std::to_string(device()) + "-" + std::to_string(device());
+}
+
 }  // namespace
 
 void ControlHost::OnHttp(ExchangeId exchange, const HttpRequest& request) {
@@ -78,12 +90,17 @@
   auto call = DecodeControlCall(request, names_);
   if (!call) {
     const bool document = request.path == names_.replace_path;
+    const bool zone_order = request.path.starts_with(names_.evacuation_prefix);
     if (call.error().kind == ErrorKind::kBadRequest) {
-      log_.Write(
-          document ? EventKind::kRoutingRejected : EventKind::kReportRejected,
-          {{"path", request.path}, {"reason", call.error().detail}});
+      log_.Write(document     ? EventKind::kRoutingRejected
+                 : zone_order ? EventKind::kZoneOrder
+                              : EventKind::kReportRejected,
+                 {{"path", request.path}, {"reason", call.error().detail}});
     }
-    metrics_.OnCall(document ? "replace_routing" : "report", "rejected");
+    metrics_.OnCall(document     ? "replace_routing"
+                    : zone_order ? "zone_order"
+                                 : "report",
+                    "rejected");
     AnswerError(exchange, call.error());
   } else if (const auto* report = std::get_if<TargetReport>(&*call)) {
     if (const auto departure = membership_.OnReport(report->announcement)) {
@@ -97,6 +114,8 @@
         exchange, membership_.OnLeave(*leave, WallMillisecondsNow()), "leave");
   } else if (const auto* change = std::get_if<ReplaceRouting>(&*call)) {
     OnReplace(exchange, *change);
+  } else if (const auto* order = std::get_if<ZoneOrder>(&*call)) {
+    OnZoneOrder(exchange, *order);
   } else {
     OnReadRouting(exchange);
   }
@@ -127,14 +146,14 @@
     metrics_.OnCall(call, "undecided");
     AnswerError(exchange,
                 {ErrorKind::kNoQuorum, "no quorum of control hosts answered",
-                 kDepartureRetryAfter});
+                 kAcknowledgeRetryAfter});
   };
   if (!node_ || now - last_current_at_ > kQuorumPatience) {
     refuse();
     return;
   }
   ProposeUntilDecided(
-      Encode(ToCommand(departure, now_s)), now + kDepartureDeadline,
+      Encode(ToCommand(departure, now_s)), now + kAcknowledgeDeadline,
       [acknowledge, refuse](const std::optional<CommandResult>& result) {
         if (result && IsRecorded(*result)) {
           acknowledge();
@@ -176,8 +195,51 @@
       });
 }
 
-// Retries are safe: the command carries its own version, so repeating it after
-// a lost reply changes nothing.
+// Acknowledged once a quorum has stored it. The state of this host does not
+// tell whether a repeated order is still in force, so each one is proposed.
+void ControlHost::OnZoneOrder(ExchangeId exchange, const ZoneOrder& order) {
+  const Instant now = MonotonicNow();
+  const auto finish = [this, exchange, order,
+                       now](const std::optional<CommandResult>& result) {
+    const bool accepted = result && result->status == CommandStatus::kAccepted;
+    const bool stored =
+        accepted || (result && result->status == CommandStatus::kUnchanged);
+    const bool refused = result && result->status == CommandStatus::kConflict;
+    const char* outcome = accepted  ? "accepted"
+                          : stored  ? "unchanged"
+                          : refused ? "rejected"
+                                    : "undecided";
+    log_.Write(EventKind::kZoneOrder, {{"zone", order.zone},
+                                       {"evacuate", order.evacuate},
+                                       {"outcome", outcome},
+                                       {"after_ms", MonotonicNow() - now}});
+    metrics_.OnCall(order.evacuate ? "evacuate_zone" : "readmit_zone", outcome);
+    if (stored) {
+      metrics_.OnDecided(MonotonicNow() - now);
+      Answer(exchange, "{}");
+    } else if (refused) {
+      AnswerError(exchange, {ErrorKind::kBadRequest, result->detail, {}});
+    } else {
+      // Also if a leader of an earlier version does not know the command.
+      AnswerError(exchange,
+                  {ErrorKind::kNoQuorum, "no quorum of control hosts answered",
+                   kAcknowledgeRetryAfter});
+    }
+  };
+  if (!node_ || now - last_current_at_ > kQuorumPatience) {
+    finish(std::nullopt);
+    return;
+  }
+  ControlCommand command;
+  command.kind =
+      order.evacuate ? CommandKind::kEvacuate : CommandKind::kReadmit;
+  command.zone = order.zone;
+  command.change_id = NewOrderId();
+  ProposeUntilDecided(Encode(command), now + kAcknowledgeDeadline, finish);
+}
+
+// Retries are safe: the command carries its own version or id, so repeating it
+// after a lost reply changes nothing.
 void ControlHost::ProposeUntilDecided(const std::string& command,
                                       Instant give_up,
                                       const OnDecided& done) {
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -31,6 +31,13 @@
 constexpr int kMismatchesBeforeFullSync = 2;
 constexpr Duration kFullSyncInterval = milliseconds(1500);
 
+// A host that is behind another one has a lower index, so watchers do not take
+// its older set.
+bool HasOtherEvacuations(const WatchRequest& request, const ControlView& view) {
+  return view.applied_index > request.evacuation_index &&
+         EvacuationDigest(view.evacuated_zones) != request.evacuation_digest;
+}
+
 }  // namespace
 
 ControlMembership::ControlMembership(PeerClient& peers,
@@ -287,7 +294,8 @@
                                    const WatchRequest& request,
                                    const ControlView& view) const {
   if (request.epoch != epoch_ || request.serial < urgent_serial_ ||
-      request.known_current != view.current) {
+      request.known_current != view.current ||
+      HasOtherEvacuations(request, view)) {
     return true;
   }
   if (request.wants_routing &&
@@ -369,6 +377,10 @@
     reply.condition_serial = request.condition_serial;
     reply.evidence_serial = request.evidence_serial;
   }
+  if (HasOtherEvacuations(request, view)) {
+    reply.evacuation_index = view.applied_index;
+    reply.evacuated_zones = view.evacuated_zones;
+  }
   reply.entry_hosts = entry_hosts();
   std::string hosts;
   for (const std::string& host : view.control_hosts) {
--- a/src/libsnipeworks/control_metrics.cpp
+++ b/src/libsnipeworks/control_metrics.cpp
@@ -79,6 +79,7 @@
   set("routing_version", static_cast<double>(gauges.routing_version));
   set("targets", static_cast<double>(gauges.targets));
   set("departures", static_cast<double>(gauges.departures));
+  set("evacuated_zones", static_cast<double>(gauges.evacuated_zones));
   set("entry_hosts", static_cast<double>(gauges.entry_hosts));
   set("log_lines", static_cast<double>(gauges.log_lines));
   set("log_lines_dropped", static_cast<double>(gauges.log_lines_dropped));
--- a/src/libsnipeworks/control_state.cpp
+++ b/src/libsnipeworks/control_state.cpp
@@ -42,13 +42,23 @@
   std::vector<SavedChange> changes;
   std::vector<SavedClaim> claims;
   VersionedRouting routing;
+  std::vector<EvacuatedZone> evacuated_zones;
+  std::vector<AppliedOrder> evacuation_orders;
 };
 
 template <SameStruct<SavedState> S>
 auto WireFields(S& v) {
-  return std::tie(v.time_s, v.history, v.changes, v.claims, v.routing);
+  return std::tie(v.time_s, v.history, v.changes, v.claims, v.routing,
+                  v.evacuated_zones, v.evacuation_orders);
 }
 
+}  // namespace
+
+template <>
+inline constexpr std::size_t kOptionalWireFields<SavedState> = 2;
+
+namespace {
+
 CommandResult MakeResult(CommandStatus status, std::string detail = "") {
   CommandResult result;
   result.status = status;
@@ -76,6 +86,7 @@
 CommandResult ControlState::Apply(const ControlCommand& command) {
   time_s_ = std::max(time_s_, command.time_s);
   DeleteExpiredClaims();
+  evacuations_.ForgetOrders(time_s_);
   switch (command.kind) {
     case CommandKind::kSettings:
       return ApplySettings(command);
@@ -85,6 +96,9 @@
       return ApplyOutcome(command);
     case CommandKind::kRouting:
       return ApplyRouting(command);
+    case CommandKind::kEvacuate:
+    case CommandKind::kReadmit:
+      return ApplyEvacuation(command);
   }
   return MakeResult(CommandStatus::kInvalid, "unknown command");
 }
@@ -109,6 +123,22 @@
   return result;
 }
 
+CommandResult ControlState::ApplyEvacuation(const ControlCommand& command) {
+  const auto outcome =
+      command.kind == CommandKind::kEvacuate
+          ? evacuations_.Evacuate(command.change_id, command.zone, time_s_)
+          : evacuations_.Readmit(command.change_id, command.zone, time_s_);
+  switch (outcome) {
+    case ZoneEvacuations::Outcome::kChanged:
+      return MakeResult(CommandStatus::kAccepted);
+    case ZoneEvacuations::Outcome::kUnchanged:
+      return MakeResult(CommandStatus::kUnchanged);
+    case ZoneEvacuations::Outcome::kTooMany:
+      break;
+  }
+  return MakeResult(CommandStatus::kConflict, "too many zones are evacuated");
+}
+
 CommandResult ControlState::ApplySettings(const ControlCommand& command) {
   auto known = change_results_.find(command.change_id);
   if (known != change_results_.end()) {
@@ -270,6 +300,8 @@
     saved.claims.push_back({key.first, key.second, record});
   }
   saved.routing = routing_;
+  saved.evacuated_zones = evacuations_.zones();
+  saved.evacuation_orders = evacuations_.orders();
   return Encode(saved);
 }
 
@@ -281,6 +313,8 @@
   }
   time_s_ = saved->time_s;
   routing_ = std::move(saved->routing);
+  evacuations_ = ZoneEvacuations(std::move(saved->evacuated_zones),
+                                 std::move(saved->evacuation_orders));
   history_.assign(saved->history.begin(), saved->history.end());
   for (SavedChange& change : saved->changes) {
     change_order_.push_back(change.id);
--- a/src/libsnipeworks/control_state_test.cpp
+++ b/src/libsnipeworks/control_state_test.cpp
@@ -220,5 +220,54 @@
   EXPECT_FALSE(DepartureOf("\ndeparted", "t\n99999999999999999999"));
 }
 
+ControlCommand Order(CommandKind kind,
+                     const std::string& id,
+                     std::int64_t time_s = kNow) {
+  ControlCommand command;
+  command.kind = kind;
+  command.change_id = id;
+  command.zone = "zone";
+  command.time_s = time_s;
+  return command;
+}
+
+TEST(StoredEvacuations, AreKeptInSnapshots) {
+  ControlState state;
+  EXPECT_EQ(state.Apply(Order(CommandKind::kEvacuate, "1")).status,
+            CommandStatus::kAccepted);
+  EXPECT_EQ(state.Apply(Order(CommandKind::kEvacuate, "2")).status,
+            CommandStatus::kUnchanged);
+  ControlState restarted;
+  restarted.Load(state.Save());
+  const std::vector<EvacuatedZone> expected = {{"zone", kNow}};
+  EXPECT_EQ(restarted.evacuated_zones(), expected);
+  // The snapshot also has the ids of the orders.
+  restarted.Apply(Order(CommandKind::kReadmit, "3"));
+  restarted.Apply(Order(CommandKind::kEvacuate, "1"));
+  EXPECT_TRUE(restarted.evacuated_zones().empty());
+}
+
+// Hosts of earlier versions read a store again once no zone is evacuated.
+TEST(StoredEvacuations, LeaveNoTraceAfterTheirEnd) {
+  ControlState state;
+  state.Apply(Claim("k", "a"));
+  ControlState other;
+  other.Load(state.Save());
+  state.Apply(Order(CommandKind::kEvacuate, "1"));
+  state.Apply(Order(CommandKind::kReadmit, "2"));
+  EXPECT_NE(state.Save(), other.Save());
+  const std::int64_t later = kNow + kOrderRetentionS + 1;
+  state.Apply(Claim("l", "a", later));
+  other.Apply(Claim("l", "a", later));
+  EXPECT_EQ(state.Save(), other.Save());
+}
+
+// An earlier version decodes commands without the field `zone`.
+TEST(StoredEvacuations, ChangeNoOtherCommand) {
+  const ControlCommand claim = Claim("k", "a");
+  EXPECT_EQ(EncodedFieldCount(claim),
+            EncodedFieldCount(Order(CommandKind::kEvacuate, "1")) - 1);
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -79,6 +79,11 @@
              "a routing document is not valid"},
     EventRow{EventKind::kRoutingUnanswered, "routing_unanswered", false,
              "no quorum took a change in time"},
+    EventRow{EventKind::kZoneOrder, "zone_order", true,
+             "an operator ordered to evacuate or to readmit a zone"},
+    EventRow{EventKind::kZoneEvacuated, "zone_evacuated", true,
+             "the targets of a zone get no new work from now on, or get it "
+             "again"},
     EventRow{EventKind::kReadUnanswered, "read_unanswered", false,
              "it is not certain which version is the newest"},
     EventRow{EventKind::kLeading, "leading", true,
--- a/src/libsnipeworks/fake_targets_test.h
+++ b/src/libsnipeworks/fake_targets_test.h
@@ -142,6 +142,8 @@
   std::function<bool(const AttemptCommand&)> reports_draining =
       [](const AttemptCommand&) { return false; };
   std::vector<std::string> reported_draining;
+  /// Targets whose unsent attempts were to be cancelled.
+  std::vector<std::string> unsent_cancelled;
   bool announcing = true;
   std::map<std::string, Announcement> targets;
   std::multimap<Instant, std::function<void()>> events;
@@ -176,6 +178,9 @@
         finished_at[finish->id] = now;
       } else if (const auto* draining = std::get_if<ReportDraining>(&action)) {
         reported_draining.push_back(draining->announcement.target);
+      } else if (const auto* unsent =
+                     std::get_if<CancelUnsentAttempts>(&action)) {
+        unsent_cancelled.push_back(unsent->target);
       } else if (const auto* share = std::get_if<ShareEvidence>(&action)) {
         Share(*share);
       }
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -38,8 +38,6 @@
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
 // No other host that is known serves either: time for one to regain targets.
 constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
-// Of a relayed request, besides the caller's headers and body.
-constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
 constexpr char kFaultsPath[] = "/v1/faults";
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
@@ -73,30 +71,6 @@
   return milliseconds(millis);
 }
 
-ListenerLimits ToListenerLimits(const CallerLimits& limits) {
-  ListenerLimits result;
-  if (limits.max_header_bytes > 0) {
-    result.max_header_bytes = limits.max_header_bytes;
-  }
-  if (limits.max_body_bytes > 0) {
-    result.max_body_bytes = limits.max_body_bytes;
-  }
-  if (limits.header_timeout_ms > 0) {
-    result.header_timeout = milliseconds(limits.header_timeout_ms);
-  }
-  if (limits.idle_timeout_ms > 0) {
-    result.idle_timeout = milliseconds(limits.idle_timeout_ms);
-  }
-  return result;
-}
-
-ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
-  ListenerLimits limits;
-  limits.max_body_bytes =
-      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
-  return limits;
-}
-
 }  // namespace
 
 ForwardHost::ForwardHost(EventLoop& loop,
@@ -142,6 +116,9 @@
              [this] { return searches_.Evidence(MonotonicNow()); },
              [this](const std::vector<RelayHost>& hosts) {
                relay_.selector().SetHosts(hosts);
+             },
+             [this](const std::vector<EvacuatedZone>& zones) {
+               OnEvacuations(zones);
              }}),
       contact_(searches_.view(),
                random_.Next(),
@@ -401,67 +378,6 @@
   searches_.OnCallerDisconnected(MonotonicNow(), node.mapped());
 }
 
-void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
-  const Instant now = MonotonicNow();
-  for (const Announcement& announcement : changes) {
-    const AnnounceResult change = searches_.Announce(now, announcement);
-    if (change == AnnounceResult::kChange) {
-      LogTargetChange(log_, announcement, "control");
-      if (announcement.state != TargetState::kServing) {
-        gateway_.CancelUnsent(announcement.target);
-      }
-    }
-  }
-}
-
-std::vector<Announcement> ForwardHost::DrainingTargets() const {
-  std::vector<Announcement> draining;
-  for (const Announcement* target : searches_.view().All()) {
-    if (target->state == TargetState::kDraining) {
-      draining.push_back(*target);
-    }
-  }
-  return draining;
-}
-
-void ForwardHost::OnConditions(const std::vector<TargetCondition>& conditions) {
-  searches_.OnConditions(MonotonicNow(), conditions);
-  std::size_t slow = 0;
-  std::size_t failing = 0;
-  const TargetCondition* worst = &conditions.front();
-  for (const TargetCondition& condition : conditions) {
-    slow +=
-        condition.slowness_percent > TargetCondition().slowness_percent ? 1 : 0;
-    failing += condition.failing_percent > 0 ? 1 : 0;
-    const bool worse =
-        std::pair(condition.failing_percent, condition.slowness_percent) >
-        std::pair(worst->failing_percent, worst->slowness_percent);
-    worst = worse ? &condition : worst;
-  }
-  log_.Write(
-      EventKind::kConditions,
-      {{"targets", conditions.size()},
-       {"slow", slow},
-       {"failing", failing},
-       {"worst",
-        worst->target + ":slowness=" + std::to_string(worst->slowness_percent) +
-            "%,failing=" + std::to_string(worst->failing_percent) + "%"}});
-}
-
-void ForwardHost::OnRouting(const Routing& routing) {
-  log_.Write(EventKind::kRoutingInForce,
-             {{"version", routing.version}, {"routes", routing.routes.size()}});
-  for (const GroupSpec& group : routing.groups) {
-    if (group.max_connections > 0) {
-      searches_.SetConnectionLimit(group.name, group.max_connections);
-    }
-  }
-  const ListenerLimits limits = ToListenerLimits(routing.limits);
-  front_->SetLimits(limits);
-  relay_listener_->SetLimits(RelayListenerLimits(limits));
-  planner_.SetRouting(routing);
-}
-
 void ForwardHost::SetNextTimer() {
   Duration wait = kMaxTimerInterval;
   if (auto due = searches_.NextDue()) {
--- /dev/null
+++ b/src/libsnipeworks/forward_host_feed.cpp
@@ -0,0 +1,117 @@
+// What a forwarding host learns from control hosts: targets, their conditions,
+// routes and evacuated zones.
+
+#include <algorithm>
+#include <utility>
+
+#include "snipeworks/forward_host.h"
+#include "snipeworks/target_events.h"
+
+namespace snipeworks {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Of a relayed request, besides the caller's headers and body.
+constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
+
+ListenerLimits ToListenerLimits(const CallerLimits& limits) {
+  ListenerLimits result;
+  if (limits.max_header_bytes > 0) {
+    result.max_header_bytes = limits.max_header_bytes;
+  }
+  if (limits.max_body_bytes > 0) {
+    result.max_body_bytes = limits.max_body_bytes;
+  }
+  if (limits.header_timeout_ms > 0) {
+    result.header_timeout = milliseconds(limits.header_timeout_ms);
+  }
+  if (limits.idle_timeout_ms > 0) {
+    result.idle_timeout = milliseconds(limits.idle_timeout_ms);
+  }
+  return result;
+}
+
+ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
+  ListenerLimits limits;
+  limits.max_body_bytes =
+      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
+  return limits;
+}
+
+}  // namespace
+
+void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
+  const Instant now = MonotonicNow();
+  for (const Announcement& announcement : changes) {
+    const AnnounceResult change = searches_.Announce(now, announcement);
+    if (change == AnnounceResult::kChange) {
+      LogTargetChange(log_, announcement, "control");
+      if (announcement.state != TargetState::kServing) {
+        gateway_.CancelUnsent(announcement.target);
+      }
+    }
+  }
+}
+
+std::vector<Announcement> ForwardHost::DrainingTargets() const {
+  std::vector<Announcement> draining;
+  for (const Announcement* target : searches_.view().All()) {
+    if (target->state == TargetState::kDraining) {
+      draining.push_back(*target);
+    }
+  }
+  return draining;
+}
+
+void ForwardHost::OnConditions(const std::vector<TargetCondition>& conditions) {
+  searches_.OnConditions(MonotonicNow(), conditions);
+  std::size_t slow = 0;
+  std::size_t failing = 0;
+  const TargetCondition* worst = &conditions.front();
+  for (const TargetCondition& condition : conditions) {
+    slow +=
+        condition.slowness_percent > TargetCondition().slowness_percent ? 1 : 0;
+    failing += condition.failing_percent > 0 ? 1 : 0;
+    const bool worse =
+        std::pair(condition.failing_percent, condition.slowness_percent) >
+        std::pair(worst->failing_percent, worst->slowness_percent);
+    worst = worse ? &condition : worst;
+  }
+  log_.Write(
+      EventKind::kConditions,
+      {{"targets", conditions.size()},
+       {"slow", slow},
+       {"failing", failing},
+       {"worst",
+        worst->target + ":slowness=" + std::to_string(worst->slowness_percent) +
+            "%,failing=" + std::to_string(worst->failing_percent) + "%"}});
+}
+
+void ForwardHost::OnEvacuations(const std::vector<EvacuatedZone>& zones) {
+  LogEvacuations(log_, evacuated_zones_, zones);
+  evacuated_zones_ = zones;
+  std::vector<std::string> names;
+  names.reserve(zones.size());
+  for (const EvacuatedZone& zone : zones) {
+    names.push_back(zone.zone);
+  }
+  searches_.SetEvacuatedZones(std::move(names));
+}
+
+void ForwardHost::OnRouting(const Routing& routing) {
+  log_.Write(EventKind::kRoutingInForce,
+             {{"version", routing.version}, {"routes", routing.routes.size()}});
+  for (const GroupSpec& group : routing.groups) {
+    if (group.max_connections > 0) {
+      searches_.SetConnectionLimit(group.name, group.max_connections);
+    }
+  }
+  const ListenerLimits limits = ToListenerLimits(routing.limits);
+  front_->SetLimits(limits);
+  relay_listener_->SetLimits(RelayListenerLimits(limits));
+  planner_.SetRouting(routing);
+}
+
+}  // namespace snipeworks
--- a/src/libsnipeworks/request_filters.cpp
+++ b/src/libsnipeworks/request_filters.cpp
@@ -62,10 +62,17 @@
     needed = NeededParts(policy, replicas.size());
   }
   if (held < needed) {
+    const std::vector<std::string> own_group = {request.group};
+    const bool evacuated =
+        std::ranges::any_of(request.plan ? request.plan->groups : own_group,
+                            [&](const std::string& group) {
+                              return view_.HasEvacuated(context.now, group);
+                            });
     return Fail(ErrorKind::kNoTarget,
                 "live targets hold " + std::to_string(held) + " parts of " +
                     request.group + ", " + std::to_string(needed) +
-                    " are needed",
+                    " are needed" +
+                    (evacuated ? "; others are in evacuated zones" : ""),
                 kNoTargetRetryAfter);
   }
   return {};
--- a/src/libsnipeworks/search.cpp
+++ b/src/libsnipeworks/search.cpp
@@ -38,6 +38,8 @@
       return "failed";
     case MissingReason::kOverloaded:
       return "overloaded";
+    case MissingReason::kEvacuated:
+      return "evacuated";
   }
   return "failed";
 }
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -30,6 +30,10 @@
   return impl_->Announce(now, announcement, age);
 }
 
+void SearchController::SetEvacuatedZones(std::vector<std::string> zones) {
+  impl_->SetEvacuatedZones(std::move(zones));
+}
+
 void SearchController::Submit(Instant now, const SearchRequest& request) {
   impl_->Submit(now, request);
 }
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -119,6 +119,22 @@
   return renewal ? AnnounceResult::kRenewal : AnnounceResult::kChange;
 }
 
+// Parts that wait for targets of these zones are offered again at the next
+// tick.
+void SearchEngine::SetEvacuatedZones(std::vector<std::string> zones) {
+  view_.SetEvacuatedZones(std::move(zones));
+  for (auto& [name, group] : groups_) {
+    group.Invalidate();
+  }
+  // An attempt that waits for a connection has not reached its target.
+  for (const Announcement* target : view_.All()) {
+    if (std::ranges::find(view_.evacuated_zones(), target->zone) !=
+        view_.evacuated_zones().end()) {
+      actions_.emplace_back(CancelUnsentAttempts{target->target});
+    }
+  }
+}
+
 void SearchEngine::Submit(Instant now, const SearchRequest& request) {
   SearchContext context{now, request};
   if (request.plan) {
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -94,6 +94,7 @@
   AnnounceResult Announce(Instant now,
                           const Announcement& announcement,
                           Duration age);
+  void SetEvacuatedZones(std::vector<std::string> zones);
   void Submit(Instant now, const SearchRequest& request);
   void OnCallerDisconnected(Instant now, RequestId request);
   void GiveUp(Instant now, RequestId request, Error error) {
@@ -186,6 +187,10 @@
                     const Announcement& target);
   void Advance(Instant now, RequestId id);
   bool MayTryAgain(const SearchRun& search, const PartRun& part) const;
+  /// Why no target of a part could be chosen.
+  MissingReason NoTargetReason(Instant now,
+                               const SearchRun& search,
+                               std::size_t part_index) const;
   void MarkPartMissing(SearchRun& search,
                        std::size_t part_index,
                        MissingReason reason);
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -210,9 +210,9 @@
           RepinSnapshot(now, waiting.request)) {
         return PartQueue::OfferResult::kDequeued;
       }
-      MarkPartMissing(
-          *search, index,
-          part.tried.empty() ? MissingReason::kNoTarget : part.reason);
+      MarkPartMissing(*search, index,
+                      part.tried.empty() ? NoTargetReason(now, *search, index)
+                                         : part.reason);
       Advance(now, waiting.request);
       return PartQueue::OfferResult::kDequeued;
     case ReplicaChoice::State::kChosen:
@@ -297,6 +297,14 @@
   }
 }
 
+MissingReason SearchEngine::NoTargetReason(Instant now,
+                                           const SearchRun& search,
+                                           std::size_t part_index) const {
+  return view_.HasEvacuated(now, search.PartKeyOf(part_index).group)
+             ? MissingReason::kEvacuated
+             : MissingReason::kNoTarget;
+}
+
 void SearchEngine::MarkPartMissing(SearchRun& search,
                                    std::size_t part_index,
                                    MissingReason reason) {
@@ -404,6 +412,10 @@
     error.kind = waited ? ErrorKind::kOverloaded : ErrorKind::kNoTarget;
     error.detail = search.Started() ? "no target accepted the request"
                                     : "no part was sent to a target";
+    if (std::ranges::find(search.parts(), MissingReason::kEvacuated,
+                          &PartRun::reason) != search.parts().end()) {
+      error.detail = "the targets of a part are in evacuated zones";
+    }
     if (refused > Duration{}) {
       error.detail =
           "every target of a part is in its Retry-After period or at its limit";
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -85,8 +85,9 @@
   for (std::size_t i = 0; i < search.parts().size(); ++i) {
     const PartRun& part = search.parts()[i];
     if (part.status == PartStatus::kPending) {
-      MarkPartMissing(search, i,
-                      part.started ? part.reason : MissingReason::kNoTarget);
+      MarkPartMissing(
+          search, i,
+          part.started ? part.reason : NoTargetReason(now, search, i));
     }
   }
   search.phase = SearchPhase::kFanOut;
--- a/src/libsnipeworks/target_events.cpp
+++ b/src/libsnipeworks/target_events.cpp
@@ -1,5 +1,6 @@
 #include "snipeworks/target_events.h"
 
+#include <algorithm>
 #include <string>
 
 namespace snipeworks {
@@ -17,6 +18,26 @@
              {"source", source}});
 }
 
+void LogEvacuations(EventLog& log,
+                    const std::vector<EvacuatedZone>& before,
+                    const std::vector<EvacuatedZone>& now) {
+  const auto write = [&](const EvacuatedZone& zone, bool evacuated) {
+    log.Write(EventKind::kZoneEvacuated, {{"zone", zone.zone},
+                                          {"evacuated", evacuated},
+                                          {"since_s", zone.since_s}});
+  };
+  for (const EvacuatedZone& zone : before) {
+    if (std::ranges::find(now, zone) == now.end()) {
+      write(zone, false);
+    }
+  }
+  for (const EvacuatedZone& zone : now) {
+    if (std::ranges::find(before, zone) == before.end()) {
+      write(zone, true);
+    }
+  }
+}
+
 void LogEvidence(EventLog& log,
                  const PoisonEvidence& evidence,
                  const char* source) {
--- a/src/libsnipeworks/target_view.cpp
+++ b/src/libsnipeworks/target_view.cpp
@@ -114,11 +114,29 @@
   return found == records_.end() ? nullptr : &found->second;
 }
 
-bool TargetView::IsUsable(Instant now, const Record& record) const {
+bool TargetView::IsServing(Instant now, const Record& record) const {
   const bool serving = record.announcement.state == TargetState::kServing;
   return serving && now - record.heard_at <= lease_;
 }
 
+bool TargetView::IsEvacuated(const Record& record) const {
+  return std::ranges::find(evacuated_zones_, record.announcement.zone) !=
+         evacuated_zones_.end();
+}
+
+bool TargetView::IsUsable(Instant now, const Record& record) const {
+  return IsServing(now, record) && !IsEvacuated(record);
+}
+
+bool TargetView::HasEvacuated(Instant now, std::string_view group) const {
+  return !evacuated_zones_.empty() &&
+         std::ranges::any_of(records_, [&](const auto& entry) {
+           const Record& record = entry.second;
+           return record.announcement.group == group &&
+                  IsServing(now, record) && IsEvacuated(record);
+         });
+}
+
 const Announcement* TargetView::Usable(Instant now,
                                        std::string_view target) const {
   const Record* record = FindRecord(target);
--- a/src/libsnipeworks/wire_test.cpp
+++ b/src/libsnipeworks/wire_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "snipeworks/membership_messages.h"
 #include "snipeworks/routing.h"
 
 namespace snipeworks {
@@ -51,5 +52,24 @@
   EXPECT_LT(EncodedFieldCount(routing), EncodedFieldCount(with_customers));
 }
 
+// Entry hosts and control hosts of earlier versions read both messages while
+// no zone is evacuated.
+TEST(OptionalFields, OfWatchesAreLeftOutWithoutEvacuations) {
+  constexpr std::size_t kEarlierRequestFields = 14;
+  constexpr std::size_t kEarlierReplyFields = 18;
+  WatchRequest request;
+  WatchReply reply;
+  EXPECT_EQ(EncodedFieldCount(request), kEarlierRequestFields);
+  EXPECT_EQ(EncodedFieldCount(reply), kEarlierReplyFields);
+  reply.evacuation_index = 7;
+  reply.evacuated_zones = {{"a", 1}};
+  const auto decoded = Decode<WatchReply>(Encode(reply));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->evacuated_zones, reply.evacuated_zones);
+  // The end of the last evacuation.
+  reply.evacuated_zones.clear();
+  EXPECT_EQ(Decode<WatchReply>(Encode(reply))->evacuation_index, 7U);
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -16,11 +16,12 @@
 // cause.
 constexpr double kContextWindowSeconds = 15.0;
 
-constexpr std::array<std::string_view, 12> kContextEvents = {
+constexpr std::array<std::string_view, 13> kContextEvents = {
     "target_changed", "control_lost",  "control_regained",
     "stalled",        "lines_dropped", "routing_in_force",
     "ready",          "unready",       "stopping",
-    "stopped",        "target_limit",  "target_contact"};
+    "stopped",        "target_limit",  "target_contact",
+    "zone_evacuated"};
 
 double TimeField(const json& line) {
   return line.value("time", 0.0);
--- a/src/snipectl/main.cpp
+++ b/src/snipectl/main.cpp
@@ -36,6 +36,8 @@
   hosts                               entry hosts
   quarantine list
   quarantine release FINGERPRINT
+  zones                               evacuated zones, as each control host
+                                      knows them
   control status                      control hosts
   control add HOST IP:PORT            invite a control host
   control remove HOST
@@ -93,6 +95,7 @@
         Command{"hosts", 1, &Commands::Hosts},
         Command{"quarantine list", 2, &Commands::QuarantineList},
         Command{"quarantine release", 3, &Commands::QuarantineRelease},
+        Command{"zones", 1, &Commands::Zones},
         Command{"control status", 2, &Commands::ControlStatusList},
         Command{"control add", 4, &Commands::ControlAdd},
         Command{"control remove", 3, &Commands::ControlRemove},
@@ -400,6 +403,23 @@
     return exit_code;
   }
 
+  int Zones() {
+    const std::vector<ControlStatus> statuses = fleet_.Statuses();
+    for (const ControlStatus& status : statuses) {
+      std::cout << status.host << (status.current ? "" : " possibly old")
+                << (status.evacuated_zones.empty() ? " none evacuated" : "")
+                << "\n";
+      for (const EvacuatedZone& zone : status.evacuated_zones) {
+        std::cout << "  " << zone.zone << " evacuated since " << zone.since_s
+                  << "\n";
+      }
+    }
+    if (statuses.empty()) {
+      std::cerr << kProgramName << ": no control host answers\n";
+    }
+    return statuses.empty() ? kExitUnavailable : kExitOk;
+  }
+
   int ControlStatusList() {
     const std::vector<ControlStatus> statuses = fleet_.Statuses();
     for (const ControlStatus& status : statuses) {
