Keep requests to cold targets within the limit of their group

What callers saw: a target with empty caches got its full load at once, from all entry hosts.

Change: window, tolerance and slack of RequestLimit are a value (RequestLimitBounds, from settings; the defaults are the constants so far). TargetLimits keeps the stated limit and the one of a cold target by the same decision, each with its own bounds; both bind. A target is cold for cold_ms after its report and for cold_start_ms after its start. Control hosts pass on reports that a target is cold for longer than was known, while the routing limits cold targets. The limit is shared among the most entry hosts known in 10 minutes, since hosts without contact to control hosts keep sending.

--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -86,7 +86,12 @@
   };
 
   void Propagate(const Announcement& announcement);
-  void OnTargetChange(const Announcement& announcement, const char* source);
+  /// `in_use` is true if entry hosts may send to the target, or to an earlier
+  /// start of it.
+  void OnTargetChange(const Announcement& announcement,
+                      const char* source,
+                      bool in_use = false);
+  bool IsServing(const std::string& target) const;
   void ApplyDraining(const Announcement& announcement);
   void ApplyEvidence(const std::vector<EvidenceMessage>& evidence,
                      const char* source);
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -21,6 +21,7 @@
   std::size_t targets_usable = 0;
   /// Targets that limit the requests they take.
   std::size_t targets_limited = 0;
+  std::size_t targets_cold = 0;  ///< Cold targets that have a limit.
   std::size_t zones_evacuated = 0;
   std::size_t quarantined = 0;
   std::uint64_t settings_version = 0;
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -11,6 +11,7 @@
 #include "snipeworks/clock.h"
 #include "snipeworks/error.h"
 #include "snipeworks/policy.h"
+#include "snipeworks/target_limits.h"
 
 namespace snipeworks {
 
@@ -76,6 +77,10 @@
   /// Policy of forwarded requests, for what their route does not set.
   const GroupPolicy& policy() const { return policy_; }
 
+  /// What the limits of requests that targets state, and those of cold targets,
+  /// must keep to.
+  const TargetLimitBounds& limit_bounds() const { return limit_bounds_; }
+
   friend auto operator<=>(const HostSettings&, const HostSettings&) = default;
 
  private:
@@ -100,6 +105,7 @@
   Duration shutdown_limit_ = std::chrono::seconds(65);
   Duration answer_margin_{};
   GroupPolicy policy_;
+  TargetLimitBounds limit_bounds_;
 };
 
 }  // namespace snipeworks
--- a/src/include/snipeworks/replica_selector.h
+++ b/src/include/snipeworks/replica_selector.h
@@ -41,6 +41,7 @@
   /// attempts.
   std::uint32_t spare_connections = 1;
   std::string zone;  ///< The policy may prefer targets of this zone.
+  TargetLimitBounds limit_bounds;
 };
 
 /// Chooses replicas from the view and from the stats of each target.
@@ -55,8 +56,15 @@
   void SetFleetHosts(Instant now, std::uint32_t hosts);
   void SetConnectionLimit(const std::string& group, std::uint32_t limit);
 
-  /// Updates the stats of the announcing target.
-  void OnAnnouncement(Instant now, const Announcement& announcement);
+  /// Sets the limits of cold targets, by group. Groups that are not named have
+  /// none.
+  void SetColdLimits(Instant now, StringMap<ColdLimit> limits);
+
+  /// Updates the stats of the announcing target. `uptime` is how long it has
+  /// run at least, if it was not known before.
+  void OnAnnouncement(Instant now,
+                      const Announcement& announcement,
+                      Duration uptime = {});
 
   /// Chooses among replicas that are usable and not tried. An ejected target is
   /// used only when no other is left, so ejection never removes coverage.
@@ -93,16 +101,18 @@
                const StatedLimit& stated);
   /// The number of targets that state a limit of requests.
   std::size_t CountLimited() const;
+  /// The number of cold targets that have a limit.
+  std::size_t CountCold(Instant now) const;
   /// The time until `replicas` accept a request behind `ahead` others, as far
   /// as their limits decide; 0 if one of them has none.
   Duration LimitWait(Instant now,
                      const std::vector<std::string>& replicas,
                      std::size_t ahead) const;
-  /// True if a target may state a limit: spares the others a look at each one.
+  /// True if a target may have a limit: spares the others a look at each one.
   bool any_limited() const { return any_limited_; }
-  /// Resets any_limited() once all limits have ended. To be called about once a
-  /// second.
-  void UpdateAnyLimited() { any_limited_ = CountLimited() > 0; }
+  /// Resets any_limited() once all limits have ended, and forgets entry hosts
+  /// that have been away for long. To be called about once a second.
+  void UpdateLimits(Instant now);
 
   /// Connections that this host may hold to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
@@ -125,12 +135,20 @@
   Candidate PickBest(const ReplicaQuery& query);
 
   std::uint32_t UsableShare(const Announcement& target) const;
+  void ApplyColdLimit(Instant now,
+                      const std::string& group,
+                      TargetStats& stats);
 
   TargetView& view_;
   Random& random_;
   SelectorConfig config_;
   StringMap<std::uint32_t> connection_limits_;
   StringMap<TargetStats> stats_;
+  StringMap<ColdLimit> cold_limits_;
+  std::optional<double> cold_phase_;  ///< Of this host; drawn when needed.
+  /// The most entry hosts that were known lately.
+  std::uint32_t most_fleet_hosts_ = 1;
+  Instant most_fleet_hosts_at_{};
   bool any_limited_ = false;
   std::vector<Candidate> candidates_;  ///< Scratch space of one choice.
 };
--- a/src/include/snipeworks/request_limit.h
+++ b/src/include/snipeworks/request_limit.h
@@ -30,12 +30,36 @@
 /// is negative or no finite number.
 std::optional<double> ParseRequestLimit(std::string_view text);
 
+/// What all entry hosts together must keep to. In any window a target may get
+/// `tolerance` times its limit and `slack` requests more.
+struct RequestLimitBounds {
+  double window_seconds = 4.0;
+  double tolerance = 1.5;
+  double slack = 5.0;
+  /// All hosts together send this many requests per second to a target with a
+  /// lower limit, since only its answers show that the limit has ended.
+  double min_per_second = 0.25;
+  /// The share of what a target may get in a window that all hosts together
+  /// keep as tokens for requests to come, on average; 0 for a fixed share of
+  /// the time between two tokens.
+  double idle_share = 0.0;
+
+  friend auto operator<=>(const RequestLimitBounds&,
+                          const RequestLimitBounds&) = default;
+};
+
+/// The defaults for a limit that holds while a target is cold.
+RequestLimitBounds ColdRequestBounds();
+
 /// This host's share of the requests that one target takes.
 ///
 /// Load pattern: many hosts learn of the limit at about the same time, send at
 /// uneven rates, and do not know what the others send.
 class RequestLimit {
  public:
+  RequestLimit() = default;
+  explicit RequestLimit(const RequestLimitBounds& bounds) : bounds_(bounds) {}
+
   /// The target has stated a limit, or none. `phase`, from 0 to 1, differs
   /// between hosts, so that they do not all send at the same time.
   void OnStated(Instant now, const StatedLimit& stated, double phase);
@@ -58,7 +82,14 @@
 
  private:
   void Settle(Instant now);
+  /// The requests per second that all hosts may send together.
+  double SafeRequestsPerSecond(double limit) const;
+  /// The share of the time between two tokens for which one is kept.
+  double KeptShare() const;
+  /// The limit that the shares are parts of.
+  double LimitToShare() const;
 
+  RequestLimitBounds bounds_;
   std::optional<double> per_second_;
   std::uint32_t hosts_ = 1;
   /// The tokens at `tokens_at_`; they grow by share() per second.
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -15,7 +15,9 @@
 #include "snipeworks/fleet_settings.h"
 #include "snipeworks/poison_tracker.h"
 #include "snipeworks/search.h"
+#include "snipeworks/string_map.h"
 #include "snipeworks/target_condition.h"
+#include "snipeworks/target_limits.h"
 #include "snipeworks/target_view.h"
 
 namespace snipeworks {
@@ -129,6 +131,7 @@
   /// False if targets stay members until an announcement removes them, without
   /// a lease that expires.
   bool leases = true;
+  TargetLimitBounds limit_bounds;
 };
 
 /// The request and target of an attempt that has no outcome yet.
@@ -163,10 +166,17 @@
   /// Applies settings to new searches.
   void ApplySettings(const FleetSettings& settings);
 
+  /// Sets the limits of cold targets, by group. Groups that are not named have
+  /// none.
+  void SetColdLimits(Instant now, StringMap<ColdLimit> limits);
+
   /// Merges a target's announcement, which its relay received `age` ago.
+  /// `uptime` is how long the target has run at least; it counts only for a
+  /// target that was not known.
   AnnounceResult Announce(Instant now,
                           const Announcement& announcement,
-                          Duration age = {});
+                          Duration age = {},
+                          Duration uptime = {});
 
   /// From now on targets of `zones` get no new work, and those of other zones
   /// may. Attempts that run at a target are left to finish.
@@ -238,6 +248,8 @@
   Duration SlowLatency(const std::string& group) const;
   /// The number of targets that state a limit of requests.
   std::size_t CountLimitedTargets() const;
+  /// The number of cold targets that have a limit.
+  std::size_t CountColdTargets(Instant now) const;
   /// Number of connections that this host may open to `target`.
   std::uint32_t ConnectionShare(const Announcement& target) const;
   /// Describes an attempt that has no outcome yet; empty for any other.
--- a/src/include/snipeworks/target_directory.h
+++ b/src/include/snipeworks/target_directory.h
@@ -58,6 +58,18 @@
   /// Increases with each change other than a renewal.
   std::uint64_t serial() const { return serial_; }
 
+  /// Whether reports that a target is cold for longer than was known count as
+  /// changes. Off at first; needed once the routing limits cold targets.
+  void SetShareCold(Instant now, bool share);
+  bool shares_cold() const { return share_cold_; }
+  /// How long `target` is still cold by its reports, in milliseconds.
+  std::uint32_t ColdRemainingMs(Instant now, const std::string& target) const;
+
+  /// The changes after `serial`, with the times that targets are still cold if
+  /// these are shared.
+  std::vector<Announcement> ChangesSince(Instant now,
+                                         std::uint64_t serial) const;
+
   /// Returns the changes after `serial`, oldest first; everything for 0.
   std::vector<Announcement> ChangesSince(std::uint64_t serial) const;
 
@@ -65,6 +77,11 @@
 
  private:
   void RecordChange(const std::string& target);
+  /// Takes the cold time of a report that was merged. Returns true if the
+  /// target is cold for longer than was known.
+  bool UpdateCold(Instant now,
+                  const Announcement& announcement,
+                  bool same_incarnation);
   void ResolveAddressReuse(Instant now, const Announcement& announcement);
 
   Duration lease_;
@@ -72,6 +89,8 @@
   DepartureSet departures_;
   /// By the time at which they were learned of, oldest first.
   std::deque<std::pair<Instant, Departure>> departures_by_age_;
+  bool share_cold_ = false;
+  std::map<std::string, Instant> cold_until_;  ///< Of targets that were cold.
   std::uint64_t serial_ = 0;
   std::map<std::uint64_t, std::string> target_by_serial_;
   std::map<std::string, std::uint64_t> serial_by_target_;
--- a/src/include/snipeworks/target_stats.h
+++ b/src/include/snipeworks/target_stats.h
@@ -11,6 +11,7 @@
 #include "snipeworks/request_limit.h"
 #include "snipeworks/stall_filter.h"
 #include "snipeworks/target_condition.h"
+#include "snipeworks/target_limits.h"
 
 namespace snipeworks {
 
@@ -21,7 +22,14 @@
   /// `share` is the number of connections that attempts may use.
   TargetStats(Instant now,
               const Announcement& announcement,
-              std::uint32_t share);
+              std::uint32_t share,
+              const TargetLimitBounds& bounds = {});
+
+  /// When the target started, if that is known to be before it was first seen.
+  void set_started_at(Instant started_at) { started_at_ = started_at; }
+  /// Sets the limit that holds while the target is cold, and takes what is
+  /// known of that. `phase`, from 0 to 1, differs between hosts.
+  void SetColdLimit(Instant now, const ColdLimit& limit, double phase);
 
   /// Takes the newest announcement. A new incarnation resets the stats.
   void OnAnnouncement(Instant now,
@@ -50,19 +58,23 @@
   /// Sets the number of connections that this host may use.
   void set_connection_share(std::uint32_t share) { connection_share_ = share; }
 
-  /// Sets the number of entry hosts that share the target's limit.
-  void SetFleetHosts(Instant now, std::uint32_t hosts) {
-    limit_.SetFleetHosts(now, hosts);
+  /// See TargetLimits::SetFleetHosts.
+  void SetFleetHosts(Instant now,
+                     std::uint32_t hosts,
+                     std::uint32_t cold_hosts) {
+    limits_.SetFleetHosts(now, hosts, cold_hosts);
   }
-  const RequestLimit& limit() const { return limit_; }
+  /// The limit that the target states.
+  const RequestLimit& limit() const { return limits_.stated(); }
+  const TargetLimits& limits() const { return limits_; }
 
   /// True if another attempt may be sent now. Ignores ejection.
   bool HasCapacity(Instant now) const;
   bool IsEjected(Instant now) const { return now < ejected_until_; }
   /// The earliest time at which the target's last Retry-After time has passed
-  /// and its limit allows another request; not after `now` if that is now.
+  /// and its limits allow another request; not after `now` if that is now.
   Instant AcceptsAt(Instant now) const {
-    return std::max(shed_until_, limit_.NextAllowed(now));
+    return std::max(shed_until_, limits_.NextAllowed(now));
   }
   /// The end of the current ejection; in the past if there is none.
   Instant ejected_until() const { return ejected_until_; }
@@ -120,13 +132,14 @@
   Instant answer_load_at_{};
   Instant stalled_until_{};
   int stall_doublings_ = 0;
-  Instant cold_until_{};
+  Instant started_at_{};       ///< Of this incarnation, at the latest.
+  Instant cold_until_{};       ///< By its reports.
   Instant connected_until_{};  ///< End of the last connection's idle time.
   int consecutive_failures_ = 0;
   int consecutive_ejections_ = 0;
   Instant ejected_until_{};
   Instant shed_until_{};
-  RequestLimit limit_;
+  TargetLimits limits_;
   Instant limit_stated_at_{};
 };
 
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -57,19 +57,29 @@
              std::random_device()()) {}
 
 void ControlMembership::OnTargetChange(const Announcement& announcement,
-                                       const char* source) {
-  if (announcement.state != TargetState::kServing) {
+                                       const char* source,
+                                       bool in_use) {
+  // A target that is in use and has become cold gets too much until entry hosts
+  // know.
+  if (announcement.state != TargetState::kServing ||
+      (in_use && directory_.shares_cold())) {
     urgent_serial_ = directory_.serial();
   }
   LogTargetChange(log_, announcement, source);
 }
 
+bool ControlMembership::IsServing(const std::string& target) const {
+  const Announcement* known = directory_.view().Find(target);
+  return known != nullptr && known->state == TargetState::kServing;
+}
+
 std::optional<Departure> ControlMembership::OnReport(
     const Announcement& announcement) {
+  const bool in_use = IsServing(announcement.target);
   const AnnounceResult result = directory_.Apply(MonotonicNow(), announcement);
   const Announcement* known = directory_.view().Find(announcement.target);
   if (result == AnnounceResult::kChange) {
-    OnTargetChange(*known, "report");
+    OnTargetChange(*known, "report", in_use);
     Propagate(*known);
   } else if (result == AnnounceResult::kRenewal) {
     for (auto& [address, peer] : other_hosts_) {
@@ -181,7 +191,7 @@
       now - peer.full_sync_at > kFullSyncInterval) {
     peer.digest_mismatches = 0;
     peer.full_sync_at = now;
-    for (const Announcement& announcement : directory_.ChangesSince(0)) {
+    for (const Announcement& announcement : directory_.ChangesSince(now, 0)) {
       peer.changes[announcement.target] = announcement;
     }
   }
@@ -200,9 +210,10 @@
   }
   const Instant now = MonotonicNow();
   for (const Announcement& announcement : message->changes) {
+    const bool in_use = IsServing(announcement.target);
     if (directory_.Apply(now, announcement) == AnnounceResult::kChange) {
       const Announcement& known = *directory_.view().Find(announcement.target);
-      OnTargetChange(known, "control");
+      OnTargetChange(known, "control", in_use);
       // The sender does not know that the target has departed.
       if (known.state != announcement.state) {
         Propagate(known);
@@ -217,6 +228,7 @@
     Announcement renewed = *known;
     renewed.sequence = heartbeat.sequence;
     renewed.state = heartbeat.state;
+    renewed.cold_ms = directory_.ColdRemainingMs(now, heartbeat.target);
     if (directory_.Apply(now, renewed) == AnnounceResult::kChange) {
       OnTargetChange(renewed, "control");
     }
@@ -356,8 +368,8 @@
   reply.epoch = epoch_;
   reply.serial = directory_.serial();
   reply.digest = ServingDigest(directory_.view());
-  reply.changes =
-      directory_.ChangesSince(request.epoch == epoch_ ? request.serial : 0);
+  reply.changes = directory_.ChangesSince(
+      MonotonicNow(), request.epoch == epoch_ ? request.serial : 0);
   reply.routing_version = view.routing->version;
   reply.current = view.current;
   const bool newer = view.routing->version > request.routing_version;
@@ -447,6 +459,11 @@
 void ControlMembership::Tick() {
   const Instant now = MonotonicNow();
   const ControlView view = view_();
+  directory_.SetShareCold(
+      now,
+      std::ranges::any_of(view.routing->groups, [](const GroupSpec& group) {
+        return group.cold_requests_per_second > 0.0;
+      }));
   for (const std::string& address : view.control_hosts) {
     if (address != address_) {
       other_hosts_.try_emplace(address);
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -154,6 +154,10 @@
       AddGauge(registry,
                "snipeworks_targets_limited",
                "Targets that limit the requests they take");
+  Gauge& targets_cold =
+      AddGauge(registry,
+               "snipeworks_targets_cold",
+               "Cold targets whose group limits the requests they get");
   Gauge& zones_evacuated =
       AddGauge(registry,
                "snipeworks_zones_evacuated",
@@ -240,6 +244,7 @@
   impl_->SetTraffic(0, gauges.target_traffic.own_zone);
   impl_->SetTraffic(1, gauges.target_traffic.other_zone);
   impl_->targets_limited.Set(static_cast<double>(gauges.targets_limited));
+  impl_->targets_cold.Set(static_cast<double>(gauges.targets_cold));
   impl_->zones_evacuated.Set(static_cast<double>(gauges.zones_evacuated));
   impl_->answers_too_large.Set(
       static_cast<double>(gauges.target_traffic.answers_too_large));
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -48,6 +48,7 @@
   config.zone = settings.zone();
   // No connections are reserved: targets get no probe or cancellation calls.
   config.spare_connections = 0;
+  config.limit_bounds = settings.limit_bounds();
   config.leases = false;  // Control hosts decide which targets are gone.
   config.seed = std::random_device()();
   return config;
--- a/src/libsnipeworks/forward_host_feed.cpp
+++ b/src/libsnipeworks/forward_host_feed.cpp
@@ -15,6 +15,21 @@
 
 // Of a relayed request, besides the caller's headers and body.
 constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
+// A target that becomes known later than this after the start of the host has
+// just started: then no wall clock is needed, which may be wrong.
+constexpr Duration kFirstSync = std::chrono::seconds(10);
+// 2001-09-09, in milliseconds since 1970.
+constexpr std::int64_t kEarliestStartMs = 1'000'000'000'000;
+
+// The incarnation of a target is the time of its start, in milliseconds since
+// 1970, if its protocol says so. A number too small for that tells nothing.
+Duration UptimeOf(const Announcement& announcement) {
+  const auto started_ms = static_cast<std::int64_t>(announcement.incarnation);
+  const std::int64_t now_ms = WallMillisecondsNow();
+  return started_ms >= kEarliestStartMs && started_ms < now_ms
+             ? milliseconds(now_ms - started_ms)
+             : Duration{};
+}
 
 ListenerLimits ToListenerLimits(const CallerLimits& limits) {
   ListenerLimits result;
@@ -44,8 +59,11 @@
 
 void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
   const Instant now = MonotonicNow();
+  const bool first_sync = now - started_ < kFirstSync;
   for (const Announcement& announcement : changes) {
-    const AnnounceResult change = searches_.Announce(now, announcement);
+    const AnnounceResult change =
+        searches_.Announce(now, announcement, {},
+                           first_sync ? UptimeOf(announcement) : Duration{});
     if (change == AnnounceResult::kChange) {
       LogTargetChange(log_, announcement, "control");
       if (announcement.state != TargetState::kServing) {
@@ -103,11 +121,17 @@
 void ForwardHost::OnRouting(const Routing& routing) {
   log_.Write(EventKind::kRoutingInForce,
              {{"version", routing.version}, {"routes", routing.routes.size()}});
+  StringMap<ColdLimit> cold_limits;
   for (const GroupSpec& group : routing.groups) {
     if (group.max_connections > 0) {
       searches_.SetConnectionLimit(group.name, group.max_connections);
     }
+    if (group.cold_requests_per_second > 0.0) {
+      cold_limits[group.name] = {group.cold_requests_per_second,
+                                 milliseconds(group.cold_start_ms)};
+    }
   }
+  searches_.SetColdLimits(MonotonicNow(), std::move(cold_limits));
   const ListenerLimits limits = ToListenerLimits(routing.limits);
   front_->SetLimits(limits);
   relay_listener_->SetLimits(RelayListenerLimits(limits));
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -140,6 +140,7 @@
         return searches_.view().Usable(now, announcement->target) != nullptr;
       }));
   gauges.targets_limited = searches_.CountLimitedTargets();
+  gauges.targets_cold = searches_.CountColdTargets(now);
   gauges.zones_evacuated = evacuated_zones_.size();
   gauges.quarantined = searches_.Quarantined(now).size();
   gauges.settings_version = feed_.routing_version();
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -15,7 +15,19 @@
 constexpr std::uint64_t kMaxShutdownHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
 
-constexpr std::array<std::string_view, 21> kSettingNames = {
+// Names of the settings that make up a RequestLimitBounds.
+struct LimitBoundsNames {
+  const char* window_ms;
+  const char* tolerance_percent;
+  const char* slack;
+};
+
+struct NumberRange {
+  double min;
+  double max;
+};
+
+constexpr std::array<std::string_view, 27> kSettingNames = {
     "host",
     "zone",
     "http",
@@ -36,6 +48,12 @@
     "shutdown_limit_ms",
     "answer_margin_ms",
     "tolerated_losses",
+    "limit_window_ms",
+    "limit_tolerance_percent",
+    "limit_slack",
+    "cold_window_ms",
+    "cold_tolerance_percent",
+    "cold_slack",
     "policy"};
 
 Address ReadAddress(JsonReader& reader, const char* name) {
@@ -101,6 +119,45 @@
   return policy;
 }
 
+double ReadNumberOr(JsonReader& reader,
+                    const json& document,
+                    const char* name,
+                    double fallback,
+                    NumberRange range) {
+  if (!reader.Has(name)) {
+    return fallback;
+  }
+  const json& value = document[name];
+  if (!value.is_number() || value.get<double>() < range.min ||
+      value.get<double>() > range.max) {
+    reader.AddError(name, "must be a number from " + std::to_string(range.min) +
+                              " to " + std::to_string(range.max));
+    return fallback;
+  }
+  return value.get<double>();
+}
+
+// Numbers may have a fraction: a platform may write 150 as 1.5e2.
+RequestLimitBounds ReadLimitBounds(JsonReader& reader,
+                                   const json& document,
+                                   const LimitBoundsNames& names,
+                                   RequestLimitBounds bounds) {
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  constexpr double kPercent = 100.0;
+  bounds.window_seconds =
+      ReadNumberOr(reader, document, names.window_ms,
+                   bounds.window_seconds * kMillisecondsPerSecond,
+                   {100.0, 60000.0}) /
+      kMillisecondsPerSecond;
+  bounds.tolerance =
+      ReadNumberOr(reader, document, names.tolerance_percent,
+                   bounds.tolerance * kPercent, {100.0, 10000.0}) /
+      kPercent;
+  bounds.slack =
+      ReadNumberOr(reader, document, names.slack, bounds.slack, {0.0, 1e6});
+  return bounds;
+}
+
 std::vector<PeerHost> ReadHosts(JsonReader& outer, const char* name) {
   std::vector<PeerHost> hosts;
   if (!outer.Has(name)) {
@@ -172,6 +229,14 @@
       ReadMilliseconds(reader, "shutdown_limit_ms", settings.shutdown_limit_);
   settings.answer_margin_ =
       ReadMilliseconds(reader, "answer_margin_ms", settings.answer_margin_);
+  settings.limit_bounds_.stated = ReadLimitBounds(
+      reader, *document,
+      {"limit_window_ms", "limit_tolerance_percent", "limit_slack"},
+      settings.limit_bounds_.stated);
+  settings.limit_bounds_.cold = ReadLimitBounds(
+      reader, *document,
+      {"cold_window_ms", "cold_tolerance_percent", "cold_slack"},
+      settings.limit_bounds_.cold);
   settings.policy_ = ReadPolicy(reader, *document);
   if (document->is_object()) {
     for (const auto& [name, value] : document->items()) {
--- /dev/null
+++ b/src/libsnipeworks/host_settings_test.cpp
@@ -0,0 +1,44 @@
+#include "snipeworks/host_settings.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace snipeworks {
+namespace {
+
+Result<HostSettings> ParseWith(const std::string& members) {
+  return HostSettings::Parse(
+      R"({"host": "h", "zone": "z", "http": "127.0.0.1:1", )"
+      R"("peer": "127.0.0.1:2")" +
+      members + "}");
+}
+
+// Deployments that set nothing get what was a constant before.
+TEST(LimitSettings, HaveTheDefaultsOfTheBounds) {
+  const auto settings = ParseWith("");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->limit_bounds(), TargetLimitBounds());
+  EXPECT_EQ(settings->limit_bounds().stated.window_seconds, 4.0);
+  EXPECT_EQ(settings->limit_bounds().cold.window_seconds, 1.0);
+}
+
+// A platform whose factor is 1.5 writes it as 1.5e2 percent.
+TEST(LimitSettings, AreNumbersWithOrWithoutAFraction) {
+  const auto settings =
+      ParseWith(R"(, "cold_tolerance_percent": 1.25e2, "cold_slack": 3,)"
+                R"( "limit_window_ms": 2000, "limit_tolerance_percent": 120)");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->limit_bounds().cold.tolerance, 1.25);
+  EXPECT_EQ(settings->limit_bounds().cold.slack, 3.0);
+  EXPECT_EQ(settings->limit_bounds().stated.window_seconds, 2.0);
+  EXPECT_EQ(settings->limit_bounds().stated.tolerance, 1.2);
+  for (const char* members :
+       {R"(, "cold_tolerance_percent": 99)", R"(, "cold_slack": -1)",
+        R"(, "cold_window_ms": "1000")", R"(, "cold_window": 1000)"}) {
+    EXPECT_FALSE(ParseWith(members)) << members;
+  }
+}
+
+}  // namespace
+}  // namespace snipeworks
--- a/src/libsnipeworks/model_fleet_test.h
+++ b/src/libsnipeworks/model_fleet_test.h
@@ -166,6 +166,22 @@
                [this, change = std::move(change)] { change(*this); });
   }
 
+  /// Applies `change` to every host.
+  void ForEachHost(const std::function<void(SearchController&)>& change) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      change(*hosts_[i]);
+      ExecuteActions(i);
+    }
+  }
+
+  /// Tells all hosts what the target announces now.
+  void Announce(ModelTarget& target) {
+    ++target.announcement.sequence;
+    for (auto& host : hosts_) {
+      host->Announce(now_, target.announcement);
+    }
+  }
+
   /// Applies `change` to every target.
   void ForEachTarget(const std::function<void(ModelTarget&)>& change) {
     for (auto& [name, target] : targets_) {
--- a/src/libsnipeworks/replica_selector.cpp
+++ b/src/libsnipeworks/replica_selector.cpp
@@ -12,6 +12,10 @@
 // costs more and sends every host to the same best replica.
 constexpr std::size_t kMaxScoredCandidates = 8;
 constexpr std::uint32_t kUsableConnectionsPercent = 80;
+// Hosts that are partitioned from control hosts count as gone after a minute
+// and keep sending, and control hosts that have all restarted know few hosts at
+// first. Limits of cold targets must hold all the same.
+constexpr Duration kFleetMemory = std::chrono::minutes(10);
 
 }  // namespace
 
@@ -20,12 +24,17 @@
                                  SelectorConfig config)
     : view_(view), random_(random), config_(std::move(config)) {
   config_.fleet_hosts = std::max(1U, config_.fleet_hosts);
+  most_fleet_hosts_ = config_.fleet_hosts;
 }
 
 void ReplicaSelector::SetFleetHosts(Instant now, std::uint32_t hosts) {
   config_.fleet_hosts = std::max(1U, hosts);
+  if (config_.fleet_hosts >= most_fleet_hosts_) {
+    most_fleet_hosts_ = config_.fleet_hosts;
+    most_fleet_hosts_at_ = now;
+  }
   for (auto& [name, stats] : stats_) {
-    stats.SetFleetHosts(now, config_.fleet_hosts);
+    stats.SetFleetHosts(now, config_.fleet_hosts, most_fleet_hosts_);
     if (const Announcement* target = view_.Find(name)) {
       stats.set_connection_share(UsableShare(*target));
     }
@@ -74,16 +83,43 @@
                                            : 1;
 }
 
+void ReplicaSelector::SetColdLimits(Instant now, StringMap<ColdLimit> limits) {
+  cold_limits_ = std::move(limits);
+  for (auto& [name, stats] : stats_) {
+    if (const Announcement* target = view_.Find(name)) {
+      ApplyColdLimit(now, target->group, stats);
+    }
+  }
+}
+
+void ReplicaSelector::ApplyColdLimit(Instant now,
+                                     const std::string& group,
+                                     TargetStats& stats) {
+  const auto found = cold_limits_.find(group);
+  if (found == cold_limits_.end()) {
+    stats.SetColdLimit(now, {}, 0.0);
+    return;
+  }
+  if (!cold_phase_) {
+    cold_phase_ = random_.Unit();
+  }
+  stats.SetColdLimit(now, found->second, *cold_phase_);
+  any_limited_ |= stats.limits().IsCold(now);
+}
+
 void ReplicaSelector::OnAnnouncement(Instant now,
-                                     const Announcement& announcement) {
+                                     const Announcement& announcement,
+                                     Duration uptime) {
   const std::uint32_t share = UsableShare(announcement);
-  auto [slot, added] =
-      stats_.try_emplace(announcement.target, now, announcement, share);
+  auto [slot, added] = stats_.try_emplace(
+      announcement.target, now, announcement, share, config_.limit_bounds);
   if (added) {
-    slot->second.SetFleetHosts(now, config_.fleet_hosts);
+    slot->second.set_started_at(now - uptime);
+    slot->second.SetFleetHosts(now, config_.fleet_hosts, most_fleet_hosts_);
   } else {
     slot->second.OnAnnouncement(now, announcement, share);
   }
+  ApplyColdLimit(now, announcement.group, slot->second);
 }
 
 TargetStats* ReplicaSelector::Stats(const std::string& target) {
@@ -141,14 +177,14 @@
     if (found == stats_.end()) {
       continue;
     }
-    const RequestLimit& limit = found->second.limit();
-    if (!limit.per_second()) {
+    const TargetLimits& limits = found->second.limits();
+    if (!limits.IsLimited(now)) {
       return {};
     }
-    const Instant next = limit.NextAllowed(now);
+    const Instant next = limits.NextAllowed(now);
     first = std::min(next, first.value_or(next));
-    tokens += std::max(0.0, limit.Tokens(now));
-    share += limit.share();
+    tokens += std::max(0.0, limits.Tokens(now));
+    share += limits.share(now);
   }
   if (!first) {
     return {};
@@ -167,6 +203,22 @@
       }));
 }
 
+void ReplicaSelector::UpdateLimits(Instant now) {
+  any_limited_ = CountLimited() > 0 || CountCold(now) > 0;
+  if (config_.fleet_hosts >= most_fleet_hosts_) {
+    most_fleet_hosts_at_ = now;
+  } else if (now - most_fleet_hosts_at_ > kFleetMemory) {
+    most_fleet_hosts_ = 1;
+    SetFleetHosts(now, config_.fleet_hosts);
+  }
+}
+
+std::size_t ReplicaSelector::CountCold(Instant now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      stats_,
+      [&](const auto& entry) { return entry.second.limits().IsCold(now); }));
+}
+
 void ReplicaSelector::FindCandidates(const ReplicaQuery& query) {
   candidates_.clear();
   for (const std::string& name : query.replicas) {
--- a/src/libsnipeworks/request_limit.cpp
+++ b/src/libsnipeworks/request_limit.cpp
@@ -8,48 +8,38 @@
 
 namespace {
 
-// All hosts together send this many requests per second to a target with a
-// lower limit, since only its answers show that the limit has ended.
-constexpr double kMinRequestsPerSecond = 0.25;
-// In any window of kWindowSeconds a target may get kTolerance times its limit
-// and kSpareRequests more.
-constexpr double kWindowSeconds = 4.0;
-constexpr double kTolerance = 1.5;
-constexpr double kSpareRequests = 5.0;
 // Requests of many hosts that each send rarely meet by chance. The mean stays
 // this many standard deviations of a Poisson process below what is allowed.
 constexpr double kDeviations = 6.0;
-// Requests that were not sent in this time are lost, so that a pause is not
-// followed by a burst.
-constexpr double kBurstSeconds = 0.25;
-// A single token is lost after this time or this share of the time until the
-// next one, whichever is longer. Else all hosts would keep one, and a burst of
-// callers would use them at once.
-constexpr double kTokenSeconds = 0.5;
+// Requests that were not sent in this share of the window are lost, so that a
+// pause is not followed by a burst.
+constexpr double kBurstWindows = 1.0 / 16.0;
+// A single token is lost after this share of the window or this share of the
+// time until the next one, whichever is longer. Else all hosts would keep one,
+// and a burst of callers would use them at once.
+constexpr double kTokenWindows = 1.0 / 8.0;
 constexpr double kTokenShare = 0.05;
+constexpr double kMaxTokenShare = 0.5;
+// Limits of cold targets. In a short window hosts get few tokens, and requests
+// over several groups need one for each: with a share as small as kTokenShare,
+// no such request was admitted while all targets were cold.
+constexpr double kColdWindowSeconds = 1.0;
+constexpr double kColdIdleShare = 0.15;
 
 double SecondsBetween(Instant from, Instant to) {
   return std::chrono::duration<double>(to - from).count();
 }
 
-// The requests per second that `hosts` may send together to a target with
-// `limit`. If each of them may send one more than its share within the window,
-// this is the limit; else it is the mean m with m + kDeviations * sqrt(m) =
-// allowed.
-double SafeRequestsPerSecond(double limit, std::uint32_t hosts) {
-  const double allowed = kTolerance * limit * kWindowSeconds + kSpareRequests;
-  const double share = limit * kWindowSeconds / hosts;
-  if (hosts * (std::floor(share) + 1.0) <= allowed) {
-    return limit;
-  }
-  const double root =
-      (std::sqrt(kDeviations * kDeviations + 4.0 * allowed) - kDeviations) /
-      2.0;
-  return std::min(limit, root * root / kWindowSeconds);
-}
-
 }  // namespace
 
+RequestLimitBounds ColdRequestBounds() {
+  RequestLimitBounds bounds;
+  bounds.window_seconds = kColdWindowSeconds;
+  bounds.min_per_second = 0.0;  // The limit ends with the cold period.
+  bounds.idle_share = kColdIdleShare;
+  return bounds;
+}
+
 std::optional<double> ParseRequestLimit(std::string_view text) {
   double value = 0.0;
   const char* const end = text.data() + text.size();
@@ -60,20 +50,49 @@
   return valid ? std::optional(value) : std::nullopt;
 }
 
+// If each host may send one more than its share within the window, this is the
+// limit; else it is the mean m with m + kDeviations * sqrt(m) = allowed.
+double RequestLimit::SafeRequestsPerSecond(double limit) const {
+  const double window = bounds_.window_seconds;
+  const double allowed = bounds_.tolerance * limit * window + bounds_.slack;
+  const double share = limit * window / hosts_;
+  if (hosts_ * (std::floor(share) + 1.0) <= allowed) {
+    return limit;
+  }
+  const double root =
+      (std::sqrt(kDeviations * kDeviations + 4.0 * allowed) - kDeviations) /
+      2.0;
+  return std::min(limit, root * root / window);
+}
+
+double RequestLimit::LimitToShare() const {
+  return std::max(per_second_.value_or(0.0), bounds_.min_per_second);
+}
+
 double RequestLimit::share() const {
-  const double limit =
-      std::max(per_second_.value_or(0.0), kMinRequestsPerSecond);
-  return SafeRequestsPerSecond(limit, hosts_) / hosts_;
+  return SafeRequestsPerSecond(LimitToShare()) / hosts_;
+}
+
+double RequestLimit::KeptShare() const {
+  const double window = bounds_.window_seconds;
+  const double by_time = share() * kTokenWindows * window;
+  if (bounds_.idle_share == 0.0) {
+    return std::max(by_time, kTokenShare);
+  }
+  const double allowed =
+      bounds_.tolerance * LimitToShare() * window + bounds_.slack;
+  return std::max(
+      by_time, std::min(kMaxTokenShare, bounds_.idle_share * allowed / hosts_));
 }
 
 double RequestLimit::Tokens(Instant now) const {
+  const double window = bounds_.window_seconds;
   const double tokens = tokens_ + SecondsBetween(tokens_at_, now) * share();
-  if (tokens < 1.0 || share() * kTokenSeconds >= 1.0) {
-    return std::min(tokens, std::max(1.0, share() * kBurstSeconds));
+  if (tokens < 1.0 || share() * kTokenWindows * window >= 1.0) {
+    return std::min(tokens, std::max(1.0, share() * kBurstWindows * window));
   }
   const double progress = tokens - std::floor(tokens);
-  const bool kept = progress <= std::max(share() * kTokenSeconds, kTokenShare);
-  return kept ? 1.0 + progress : progress;
+  return progress <= KeptShare() ? 1.0 + progress : progress;
 }
 
 void RequestLimit::Settle(Instant now) {
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -26,8 +26,13 @@
 
 AnnounceResult SearchController::Announce(Instant now,
                                           const Announcement& announcement,
-                                          Duration age) {
-  return impl_->Announce(now, announcement, age);
+                                          Duration age,
+                                          Duration uptime) {
+  return impl_->Announce(now, announcement, age, uptime);
+}
+
+void SearchController::SetColdLimits(Instant now, StringMap<ColdLimit> limits) {
+  impl_->selector().SetColdLimits(now, std::move(limits));
 }
 
 void SearchController::SetEvacuatedZones(std::vector<std::string> zones) {
@@ -143,6 +148,10 @@
   return impl_->selector().CountLimited();
 }
 
+std::size_t SearchController::CountColdTargets(Instant now) const {
+  return impl_->selector().CountCold(now);
+}
+
 std::uint32_t SearchController::ConnectionShare(
     const Announcement& target) const {
   return impl_->selector().ConnectionShare(target);
--- a/src/libsnipeworks/search_engine.cpp
+++ b/src/libsnipeworks/search_engine.cpp
@@ -36,7 +36,8 @@
                            : kUnlimitedLease),
       selector_(view_,
                 random_,
-                {config_.fleet_hosts, config_.spare_connections, config_.zone}),
+                {config_.fleet_hosts, config_.spare_connections, config_.zone,
+                 config_.limit_bounds}),
       filters_(SyntaxFilter(),
                SnapshotFilter(
                    view_,
@@ -100,14 +101,15 @@
 
 AnnounceResult SearchEngine::Announce(Instant now,
                                       const Announcement& announcement,
-                                      Duration age) {
+                                      Duration age,
+                                      Duration uptime) {
   const Announcement* known = view_.Find(announcement.target);
   const bool renewal = known != nullptr && IsRenewal(*known, announcement);
   if (!view_.Merge(now, announcement, age)) {
     return AnnounceResult::kStale;
   }
   EnsureGroup(announcement.group);
-  selector_.OnAnnouncement(now, announcement);
+  selector_.OnAnnouncement(now, announcement, uptime);
   if (!renewal) {
     // Plans of other groups may contain the target's group.
     for (auto& [name, group] : groups_) {
@@ -274,7 +276,7 @@
     for (const std::string& target : view_.ForgetEnded(now)) {
       selector_.Forget(target);
     }
-    selector_.UpdateAnyLimited();
+    selector_.UpdateLimits(now);
     poison_.Prune(now);
     PruneGroups(now);
     pruned_at_ = now;
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -93,7 +93,8 @@
   void ApplySettings(const FleetSettings& settings);
   AnnounceResult Announce(Instant now,
                           const Announcement& announcement,
-                          Duration age);
+                          Duration age,
+                          Duration uptime = {});
   void SetEvacuatedZones(std::vector<std::string> zones);
   void Submit(Instant now, const SearchRequest& request);
   void OnCallerDisconnected(Instant now, RequestId request);
--- a/src/libsnipeworks/target_directory.cpp
+++ b/src/libsnipeworks/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/target_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -10,6 +11,8 @@
 
 // Leases never expire in the view itself: the directory expires them.
 constexpr Duration kUnboundedLease = std::chrono::hours(24);
+// A report of a steady countdown arrives earlier or later than the one before.
+constexpr Duration kColdTolerance = std::chrono::milliseconds(300);
 constexpr Duration kDepartureRetention =
     std::chrono::seconds(kDepartureRetentionS);
 
@@ -42,7 +45,8 @@
   const bool state_unchanged =
       same_incarnation &&
       view_.Find(announcement.target)->state == previous_state;
-  if (!change || state_unchanged) {
+  const bool colder = UpdateCold(now, announcement, same_incarnation);
+  if ((!change || state_unchanged) && !colder) {
     return AnnounceResult::kRenewal;
   }
   RecordChange(announcement.target);
@@ -52,6 +56,51 @@
   return AnnounceResult::kChange;
 }
 
+bool TargetDirectory::UpdateCold(Instant now,
+                                 const Announcement& announcement,
+                                 bool same_incarnation) {
+  if (announcement.state != TargetState::kServing) {
+    return false;
+  }
+  const auto known = cold_until_.find(announcement.target);
+  if (announcement.cold_ms == 0) {
+    if (known != cold_until_.end()) {
+      cold_until_.erase(known);
+    }
+    return false;
+  }
+  const Instant until = now + std::chrono::milliseconds(announcement.cold_ms);
+  const bool longer = known == cold_until_.end() || !same_incarnation ||
+                      until > known->second + kColdTolerance;
+  if (longer) {
+    cold_until_[announcement.target] = until;
+  }
+  return longer && share_cold_;
+}
+
+void TargetDirectory::SetShareCold(Instant now, bool share) {
+  if (std::exchange(share_cold_, share) || !share) {
+    return;
+  }
+  for (const auto& [target, until] : cold_until_) {
+    if (until > now) {
+      RecordChange(target);
+    }
+  }
+}
+
+std::uint32_t TargetDirectory::ColdRemainingMs(
+    Instant now,
+    const std::string& target) const {
+  const auto found = cold_until_.find(target);
+  if (found == cold_until_.end() || found->second <= now) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>((found->second - now) /
+                                    std::chrono::milliseconds(1)) +
+         1;
+}
+
 // An address belongs to the target that started there most recently.
 void TargetDirectory::ResolveAddressReuse(Instant now,
                                           const Announcement& announcement) {
@@ -124,6 +173,7 @@
       target_by_serial_.erase(found->second);
       serial_by_target_.erase(found);
     }
+    cold_until_.erase(target);
     std::erase_if(target_by_address_,
                   [&](const auto& holder) { return holder.second == target; });
   }
@@ -166,6 +216,18 @@
   return changes;
 }
 
+std::vector<Announcement> TargetDirectory::ChangesSince(
+    Instant now,
+    std::uint64_t serial) const {
+  std::vector<Announcement> changes = ChangesSince(serial);
+  if (share_cold_) {
+    for (Announcement& announcement : changes) {
+      announcement.cold_ms = ColdRemainingMs(now, announcement.target);
+    }
+  }
+  return changes;
+}
+
 std::uint64_t ServingDigest(const TargetView& view) {
   std::uint64_t digest = 0;
   for (const Announcement* target : view.All()) {
--- a/src/libsnipeworks/target_directory_test.cpp
+++ b/src/libsnipeworks/target_directory_test.cpp
@@ -201,5 +201,26 @@
   EXPECT_TRUE(directory.ChangesSince(0).empty());
 }
 
+// Entry hosts get changes only: without this they would not learn that a target
+// has become cold while it runs.
+TEST_F(Directories, ShareThatATargetBecomesCold) {
+  const auto report = [&](std::uint64_t sequence, std::uint32_t cold_ms) {
+    Announcement announcement = MakeAnnouncement("a", 1, sequence);
+    announcement.cold_ms = cold_ms;
+    return directory.Apply(now, announcement);
+  };
+  report(1, 0);
+  EXPECT_EQ(report(2, 5000), AnnounceResult::kRenewal);
+  directory.SetShareCold(now, true);
+  EXPECT_EQ(directory.ChangesSince(now, 1).at(0).cold_ms, 5001U);
+  now += seconds(1);
+  EXPECT_EQ(report(3, 4100), AnnounceResult::kRenewal);
+  EXPECT_EQ(report(4, 5000), AnnounceResult::kChange);
+  now += seconds(2);
+  EXPECT_EQ(directory.ChangesSince(now, 2).at(0).cold_ms, 3001U);
+  EXPECT_EQ(report(5, 0), AnnounceResult::kRenewal);
+  EXPECT_EQ(directory.ChangesSince(now, 0).at(0).cold_ms, 0U);
+}
+
 }  // namespace
 }  // namespace snipeworks
--- a/src/libsnipeworks/target_stats.cpp
+++ b/src/libsnipeworks/target_stats.cpp
@@ -62,7 +62,9 @@
 
 TargetStats::TargetStats(Instant now,
                          const Announcement& announcement,
-                         std::uint32_t share) {
+                         std::uint32_t share,
+                         const TargetLimitBounds& bounds)
+    : limits_(bounds) {
   incarnation_ = announcement.incarnation;
   Reset(now);
   OnAnnouncement(now, announcement, share);
@@ -71,6 +73,7 @@
 
 void TargetStats::Reset(Instant now) {
   first_seen_ = now;
+  started_at_ = now;
   slowness_ = 1.0;
   slowness_at_ = now;
   stall_filter_ = {};
@@ -83,7 +86,7 @@
   consecutive_ejections_ = 0;
   ejected_until_ = Instant{};
   shed_until_ = Instant{};
-  limit_.OnStated(now, {}, 0.0);
+  limits_.OnStated(now, {}, 0.0);
   sample_.stated_limit.reset();
 }
 
@@ -107,26 +110,34 @@
                   static_cast<double>(std::min(slots_, connection_share_)));
 }
 
+void TargetStats::SetColdLimit(Instant now,
+                               const ColdLimit& limit,
+                               double phase) {
+  limits_.SetCold(now, limit.per_second,
+                  std::max(cold_until_, started_at_ + limit.after_start),
+                  phase);
+}
+
 void TargetStats::OnStart(Instant now) {
   ++in_flight_;
-  limit_.OnStart(now);
+  limits_.OnStart(now);
 }
 
 void TargetStats::OnLimit(Instant now,
                           const StatedLimit& stated,
                           double phase) {
   limit_stated_at_ = now;
-  if (stated.per_second || limit_.per_second()) {
+  if (stated.per_second || limit().per_second()) {
     sample_.stated_limit = stated;
   }
-  limit_.OnStated(now, stated, phase);
+  limits_.OnStated(now, stated, phase);
 }
 
 void TargetStats::OnRelayedLimit(Instant now,
                                  const StatedLimit& stated,
                                  double phase) {
   if (now - limit_stated_at_ >= kLimitTrust) {
-    limit_.OnStated(now, stated, phase);
+    limits_.OnStated(now, stated, phase);
   }
 }
 
