--- a/src/include/snipeworks/control_membership.h
+++ b/src/include/snipeworks/control_membership.h
@@ -27,6 +27,9 @@
   bool current = false;  ///< The host hears from a leader with a quorum.
   const Routing* routing = nullptr;        ///< Version 0 if there is none.
   std::vector<std::string> control_hosts;  ///< Peer addresses.
+  /// Index of the last applied entry of the log.
+  std::uint64_t applied_index = 0;
+  std::vector<EvacuatedZone> evacuated_zones;
 };
 
 /// The part of a control host that accepts reports of targets, gossips them to
@@ -90,7 +93,12 @@
 
   void UpdateRoutedGroups(Instant now, const Routing& routing);
   void Propagate(const Announcement& announcement);
-  void OnTargetChange(const Announcement& announcement, const char* source);
+  /// `in_use` is true if entry hosts may send to the target, or to an earlier
+  /// start of it.
+  void OnTargetChange(const Announcement& announcement,
+                      const char* source,
+                      bool in_use = false);
+  bool IsServing(const std::string& target) const;
   void ApplyDraining(const Announcement& announcement);
   void ApplyEvidence(const std::vector<EvidenceMessage>& evidence,
                      const char* source);
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -45,6 +45,8 @@
   kRoutingAccepted,
   kRoutingRejected,
   kRoutingUnanswered,
+  kZoneOrder,
+  kZoneEvacuated,
   kReadUnanswered,
   kLeading,
   kNotLeading,
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -12,6 +12,7 @@
 #include "snipeworks/error.h"
 #include "snipeworks/policy.h"
 #include "snipeworks/quota_bounds.h"
+#include "snipeworks/target_limits.h"
 
 namespace snipeworks {
 
@@ -84,6 +85,10 @@
   /// Policy of forwarded requests, for what their route does not set.
   const GroupPolicy& policy() const { return policy_; }
 
+  /// What the limits of requests that targets state, and those of cold targets,
+  /// must keep to.
+  const TargetLimitBounds& limit_bounds() const { return limit_bounds_; }
+
   friend auto operator<=>(const HostSettings&, const HostSettings&) = default;
 
  private:
@@ -110,6 +115,7 @@
   Duration answer_margin_{};
   QuotaBounds quota_bounds_;
   GroupPolicy policy_;
+  TargetLimitBounds limit_bounds_;
 };
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -33,6 +33,13 @@
 constexpr int kMismatchesBeforeFullSync = 2;
 constexpr Duration kFullSyncInterval = milliseconds(1500);
 
+// A host that is behind another one has a lower index, so watchers do not take
+// its older set.
+bool HasOtherEvacuations(const WatchRequest& request, const ControlView& view) {
+  return view.applied_index > request.evacuation_index &&
+         EvacuationDigest(view.evacuated_zones) != request.evacuation_digest;
+}
+
 }  // namespace
 
 ControlMembership::ControlMembership(PeerClient& peers,
@@ -52,19 +59,29 @@
              std::random_device()()) {}
 
 void ControlMembership::OnTargetChange(const Announcement& announcement,
-                                       const char* source) {
-  if (announcement.state != TargetState::kServing) {
+                                       const char* source,
+                                       bool in_use) {
+  // A target that is in use and has become cold gets too much until entry hosts
+  // know.
+  if (announcement.state != TargetState::kServing ||
+      (in_use && directory_.shares_cold())) {
     urgent_serial_ = directory_.serial();
   }
   LogTargetChange(log_, announcement, source);
 }
 
+bool ControlMembership::IsServing(const std::string& target) const {
+  const Announcement* known = directory_.view().Find(target);
+  return known != nullptr && known->state == TargetState::kServing;
+}
+
 std::optional<Departure> ControlMembership::OnReport(
     const Announcement& announcement) {
+  const bool in_use = IsServing(announcement.target);
   const AnnounceResult result = directory_.Apply(MonotonicNow(), announcement);
   const Announcement* known = directory_.view().Find(announcement.target);
   if (result == AnnounceResult::kChange) {
-    OnTargetChange(*known, "report");
+    OnTargetChange(*known, "report", in_use);
     Propagate(*known);
   } else if (result == AnnounceResult::kRenewal) {
     for (auto& [address, peer] : other_hosts_) {
@@ -200,7 +217,7 @@
       now - peer.full_sync_at > kFullSyncInterval) {
     peer.digest_mismatches = 0;
     peer.full_sync_at = now;
-    for (const Announcement& announcement : directory_.ChangesSince(0)) {
+    for (const Announcement& announcement : directory_.ChangesSince(now, 0)) {
       peer.changes[announcement.target] = announcement;
     }
   }
@@ -219,9 +236,10 @@
   }
   const Instant now = MonotonicNow();
   for (const Announcement& announcement : message->changes) {
+    const bool in_use = IsServing(announcement.target);
     if (directory_.Apply(now, announcement) == AnnounceResult::kChange) {
       const Announcement& known = *directory_.view().Find(announcement.target);
-      OnTargetChange(known, "control");
+      OnTargetChange(known, "control", in_use);
       // The sender does not know that the target has departed.
       if (known.state != announcement.state) {
         Propagate(known);
@@ -236,6 +254,7 @@
     Announcement renewed = *known;
     renewed.sequence = heartbeat.sequence;
     renewed.state = heartbeat.state;
+    renewed.cold_ms = directory_.ColdRemainingMs(now, heartbeat.target);
     if (directory_.Apply(now, renewed) == AnnounceResult::kChange) {
       OnTargetChange(renewed, "control");
     }
@@ -313,7 +332,8 @@
                                    const WatchRequest& request,
                                    const ControlView& view) const {
   if (request.epoch != epoch_ || request.serial < urgent_serial_ ||
-      request.known_current != view.current) {
+      request.known_current != view.current ||
+      HasOtherEvacuations(request, view)) {
     return true;
   }
   if (request.wants_routing &&
@@ -374,8 +394,8 @@
   reply.epoch = epoch_;
   reply.serial = directory_.serial();
   reply.digest = ServingDigest(directory_.view());
-  reply.changes =
-      directory_.ChangesSince(request.epoch == epoch_ ? request.serial : 0);
+  reply.changes = directory_.ChangesSince(
+      MonotonicNow(), request.epoch == epoch_ ? request.serial : 0);
   reply.routing_version = view.routing->version;
   reply.current = view.current;
   const bool newer = view.routing->version > request.routing_version;
@@ -395,6 +415,10 @@
     reply.condition_serial = request.condition_serial;
     reply.evidence_serial = request.evidence_serial;
   }
+  if (HasOtherEvacuations(request, view)) {
+    reply.evacuation_index = view.applied_index;
+    reply.evacuated_zones = view.evacuated_zones;
+  }
   reply.entry_hosts = entry_hosts();
   std::string hosts;
   for (const std::string& host : view.control_hosts) {
@@ -464,6 +488,11 @@
   const Instant now = MonotonicNow();
   const ControlView view = view_();
   UpdateRoutedGroups(now, *view.routing);
+  directory_.SetShareCold(
+      now,
+      std::ranges::any_of(view.routing->groups, [](const GroupSpec& group) {
+        return group.cold_requests_per_second > 0.0;
+      }));
   for (const std::string& address : view.control_hosts) {
     if (address != address_) {
       other_hosts_.try_emplace(address);
--- a/src/libsnipeworks/control_metrics.cpp
+++ b/src/libsnipeworks/control_metrics.cpp
@@ -79,6 +79,7 @@
   set("routing_version", static_cast<double>(gauges.routing_version));
   set("targets", static_cast<double>(gauges.targets));
   set("departures", static_cast<double>(gauges.departures));
+  set("evacuated_zones", static_cast<double>(gauges.evacuated_zones));
   set("entry_hosts", static_cast<double>(gauges.entry_hosts));
   set("quota_customers", static_cast<double>(gauges.quota_customers));
   set("quota_closed", static_cast<double>(gauges.quota_closed));
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -26,8 +26,6 @@
 // Time before the shutdown limit at which open requests are answered with an
 // error, so that these answers are still sent.
 constexpr Duration kFinalAnswerMargin = milliseconds(400);
-// Of a relayed request, besides the caller's headers and body.
-constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
 constexpr char kFaultsPath[] = "/v1/faults";
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
@@ -38,6 +36,7 @@
   config.zone = settings.zone();
   // No connections are reserved: targets get no probe or cancellation calls.
   config.spare_connections = 0;
+  config.limit_bounds = settings.limit_bounds();
   config.leases = false;  // Control hosts decide which targets are gone.
   config.seed = std::random_device()();
   return config;
@@ -57,30 +56,6 @@
   return std::uint64_t{random()} << kHalf | random();
 }
 
-ListenerLimits ToListenerLimits(const CallerLimits& limits) {
-  ListenerLimits result;
-  if (limits.max_header_bytes > 0) {
-    result.max_header_bytes = limits.max_header_bytes;
-  }
-  if (limits.max_body_bytes > 0) {
-    result.max_body_bytes = limits.max_body_bytes;
-  }
-  if (limits.header_timeout_ms > 0) {
-    result.header_timeout = milliseconds(limits.header_timeout_ms);
-  }
-  if (limits.idle_timeout_ms > 0) {
-    result.idle_timeout = milliseconds(limits.idle_timeout_ms);
-  }
-  return result;
-}
-
-ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
-  ListenerLimits limits;
-  limits.max_body_bytes =
-      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
-  return limits;
-}
-
 }  // namespace
 
 ForwardHost::ForwardHost(EventLoop& loop,
@@ -127,6 +102,9 @@
              [this] { return searches_.Evidence(MonotonicNow()); },
              [this](const std::vector<RelayHost>& hosts) {
                relay_.selector().SetHosts(hosts);
+             },
+             [this](const std::vector<EvacuatedZone>& zones) {
+               OnEvacuations(zones);
              }}),
       quotas_(loop,
               peers_,
@@ -282,73 +260,6 @@
   log_.Flush();
 }
 
-void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
-  const Instant now = MonotonicNow();
-  for (const Announcement& announcement : changes) {
-    const AnnounceResult change = searches_.Announce(now, announcement);
-    if (change == AnnounceResult::kChange) {
-      LogTargetChange(log_, announcement, "control");
-      if (announcement.state != TargetState::kServing) {
-        gateway_.CancelUnsent(announcement.target);
-      }
-    }
-  }
-}
-
-std::vector<Announcement> ForwardHost::DrainingTargets() const {
-  std::vector<Announcement> draining;
-  for (const Announcement* target : searches_.view().All()) {
-    if (target->state == TargetState::kDraining) {
-      draining.push_back(*target);
-    }
-  }
-  return draining;
-}
-
-void ForwardHost::OnConditions(const std::vector<TargetCondition>& conditions) {
-  searches_.OnConditions(MonotonicNow(), conditions);
-  std::size_t slow = 0;
-  std::size_t failing = 0;
-  const TargetCondition* worst = &conditions.front();
-  for (const TargetCondition& condition : conditions) {
-    slow +=
-        condition.slowness_percent > TargetCondition().slowness_percent ? 1 : 0;
-    failing += condition.failing_percent > 0 ? 1 : 0;
-    const bool worse =
-        std::pair(condition.failing_percent, condition.slowness_percent) >
-        std::pair(worst->failing_percent, worst->slowness_percent);
-    worst = worse ? &condition : worst;
-  }
-  log_.Write(
-      EventKind::kConditions,
-      {{"targets", conditions.size()},
-       {"slow", slow},
-       {"failing", failing},
-       {"worst",
-        worst->target + ":slowness=" + std::to_string(worst->slowness_percent) +
-            "%,failing=" + std::to_string(worst->failing_percent) + "%"}});
-}
-
-void ForwardHost::OnRouting(const Routing& routing) {
-  log_.Write(EventKind::kRoutingInForce,
-             {{"version", routing.version},
-              {"routes", routing.routes.size()},
-              {"customers", routing.customers.size()}});
-  for (const GroupSpec& group : routing.groups) {
-    if (group.max_connections > 0) {
-      searches_.SetConnectionLimit(group.name, group.max_connections);
-    }
-  }
-  const ListenerLimits limits = ToListenerLimits(routing.limits);
-  front_->SetLimits(limits);
-  relay_listener_->SetLimits(RelayListenerLimits(limits));
-  customers_ = CustomerDirectory(routing.customers, key_seed_);
-  // The planner needs no customers: their keys take the most memory.
-  planner_.SetRouting(
-      {routing.version, routing.routes, routing.groups, routing.limits, {}});
-  quotas_.SetQuotas(routing);
-}
-
 void ForwardHost::SetNextTimer() {
   Duration wait = kMaxTimerInterval;
   if (auto due = searches_.NextDue()) {
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -93,7 +93,9 @@
   void ApplySettings(const FleetSettings& settings);
   AnnounceResult Announce(Instant now,
                           const Announcement& announcement,
-                          Duration age);
+                          Duration age,
+                          Duration uptime = {});
+  void SetEvacuatedZones(std::vector<std::string> zones);
   void Submit(Instant now, const SearchRequest& request);
   void OnCallerDisconnected(Instant now, RequestId request);
   void GiveUp(Instant now, RequestId request, Error error) {
@@ -186,6 +188,10 @@
                     const Announcement& target);
   void Advance(Instant now, RequestId id);
   bool MayTryAgain(const SearchRun& search, const PartRun& part) const;
+  /// Why no target of a part could be chosen.
+  MissingReason NoTargetReason(Instant now,
+                               const SearchRun& search,
+                               std::size_t part_index) const;
   void MarkPartMissing(SearchRun& search,
                        std::size_t part_index,
                        MissingReason reason);
--- a/src/snipectl/explain.cpp
+++ b/src/snipectl/explain.cpp
@@ -16,12 +16,12 @@
 // cause.
 constexpr double kContextWindowSeconds = 15.0;
 
-constexpr std::array<std::string_view, 14> kContextEvents = {
+constexpr std::array<std::string_view, 15> kContextEvents = {
     "target_changed", "control_lost",  "control_regained",
     "stalled",        "lines_dropped", "routing_in_force",
     "ready",          "unready",       "stopping",
     "stopped",        "target_limit",  "target_contact",
-    "quota_contact",  "quota"};
+    "quota_contact",  "quota",         "zone_evacuated"};
 
 double TimeField(const json& line) {
   return line.value("time", 0.0);
