--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -90,7 +90,8 @@
 
     def __init__(self, programs, fleet_file, settings_file, entries=3,
                  controls=3, first_port=23000, settings_version=True,
-                 folder=None, entry_data_folders=False, arms=None):
+                 folder=None, entry_data_folders=False, arms=None,
+                 host_settings=None):
         self.programs = programs
         self.folder = folder or tempfile.mkdtemp(prefix="snipeworks-")
         self.fleet_file = fleet_file
@@ -115,6 +116,7 @@
         # Maps the name of each arm to the settings file of its entry hosts. Entry hosts are
         # assigned to the arms in rotation. Used only without control hosts.
         self.arms = arms or {}
+        self.host_settings = host_settings or {}  # Added to those of each host.
         self.trace_percent = 0
 
     def program(self, name):
@@ -148,6 +150,7 @@
         settings["entry_hosts"] = peers(self.entry_hosts)
         settings["control_hosts"] = peers(self.control_hosts)
         settings["allow_faults"] = True
+        settings.update(self.host_settings)
         settings["shutdown_hold_ms"] = 500
         settings["traces"] = self.path(host["host"] + ".traces")
         settings["trace_percent"] = self.trace_percent
