Limit responses in use, callers that do not read, and JSON values

A host kept responses of targets that a search holds (278 MB), heads of tiny headers (266 MB), and responses that callers do not read (more than a gigabyte) without a limit on their sum.

- HttpClient counts large responses until they are no longer used (HeldBytes), refuses heads with more than 256 headers, lengths over the limit and responses that are mostly framing, and does not keep bodies of responses to other calls.
- HttpListener limits the memory of all requests and unsent responses of one listener, and sends a caller that has not read its last response no further one.
- CheckJsonExtent bounds the values and nesting of every JSON text, not only of control calls.
- Buffers of 128 KB and more return to the system when they are freed.

--- a/src/include/snipeworks/forwarded_request.h
+++ b/src/include/snipeworks/forwarded_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "snipeworks/held_bytes.h"
 #include "snipeworks/http_client.h"
 #include "snipeworks/http_message.h"
 
@@ -27,6 +28,7 @@
   std::string signature;            ///< Empty if the target gave none.
   std::string body;
   std::uint64_t declared_length = 0;  ///< The Content-Length of the answer.
+  HeldBytes held;                     ///< See HttpCallResult.
 };
 
 /// The load that a target reports in an answer.
--- a/src/include/snipeworks/http_client.h
+++ b/src/include/snipeworks/http_client.h
@@ -14,6 +14,7 @@
 #include "snipeworks/clock.h"
 #include "snipeworks/error.h"
 #include "snipeworks/event_loop.h"
+#include "snipeworks/held_bytes.h"
 #include "snipeworks/http_message.h"
 
 namespace snipeworks {
@@ -87,6 +88,9 @@
   bool connection_refused = false;
   /// True if a connection was tried and could not be opened.
   bool connect_failed = false;
+  /// A large response counts towards HttpClientLimits::max_buffered_bytes until
+  /// this is destroyed.
+  HeldBytes held;
 
   /// The value of header `name`, in any case, or empty.
   std::string_view Header(std::string_view name) const {
@@ -94,13 +98,17 @@
   }
 };
 
-/// Limits on the responses in progress that a client buffers.
+/// Limits on the responses that a client receives.
 struct HttpClientLimits {
   /// Bytes received for one response: headers, body and skipped responses.
   std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
-  /// Bytes of memory for all of them together; above it, the largest one is
-  /// aborted first. A fifth of the 160 MB that the smallest hosts have.
+  /// Bytes of memory for all responses in progress, and for the large ones that
+  /// are in use, together; above it, the largest one in progress is aborted
+  /// first. A fifth of the 160 MB that the smallest hosts have.
   std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
+  /// Bytes received for one response that are no body, beyond as many bytes of
+  /// bodies: headers, the framing of chunks, interim responses.
+  std::size_t max_overhead_bytes = std::size_t{64} * 1024;
 
   friend auto operator<=>(const HttpClientLimits&,
                           const HttpClientLimits&) = default;
--- a/src/include/snipeworks/http_listener.h
+++ b/src/include/snipeworks/http_listener.h
@@ -19,6 +19,11 @@
 struct ListenerLimits {
   std::size_t max_header_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{256} * 1024;
+  /// Bytes of memory for all requests that are read or unanswered and for
+  /// responses that are not sent yet, together. Above it, the largest request
+  /// that is still being read is refused, or the caller that leaves most of its
+  /// responses unread is disconnected.
+  std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
   /// From the first byte of a request to the end of its headers.
   Duration header_timeout = std::chrono::seconds(10);
   /// From the first byte of a request to its last.
--- a/src/include/snipeworks/json_reader.h
+++ b/src/include/snipeworks/json_reader.h
@@ -56,6 +56,10 @@
   std::string error_;
 };
 
+/// Bounds the memory that the parser needs for `text`. Fails with kBadRequest
+/// if it has too many values or nests them too deeply.
+Result<void> CheckJsonExtent(std::string_view text);
+
 /// Parses JSON with comments. Fails with kBadRequest; syntax errors name the
 /// line.
 Result<nlohmann::json> ParseJson(std::string_view text);
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/json_reader.h"
+
 namespace snipeworks {
 
 namespace {
@@ -17,9 +19,6 @@
 constexpr double kMaxExactInteger = 9.0e15;
 // A report has a dozen short members.
 constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
-// A parsed value takes up to a hundred bytes, many times its text.
-constexpr std::size_t kMaxValues = 500'000;
-constexpr std::size_t kMaxNesting = 32;
 
 // Reads typed members of one JSON object and keeps the first error.
 class MemberReader {
@@ -128,31 +127,8 @@
   std::string error_;
 };
 
-// Bounds the memory that the parser needs for `text`. Braces, brackets and
-// commas in strings count as well.
-Result<void> CheckExtent(std::string_view text) {
-  std::size_t values = 1;
-  std::size_t depth = 0;
-  for (const char c : text) {
-    if (c == '[' || c == '{') {
-      ++values;
-      ++depth;
-    } else if (c == ']' || c == '}') {
-      depth -= depth > 0 ? 1 : 0;
-    } else if (c == ',') {
-      ++values;
-    }
-    if (depth > kMaxNesting || values > kMaxValues) {
-      return Fail(ErrorKind::kBadRequest, depth > kMaxNesting
-                                              ? "the body is nested too deeply"
-                                              : "the body has too many values");
-    }
-  }
-  return {};
-}
-
 Result<json> ParseObject(std::string_view text) {
-  if (auto bounded = CheckExtent(text); !bounded) {
+  if (auto bounded = CheckJsonExtent(text); !bounded) {
     return tl::unexpected(bounded.error());
   }
   json document = json::parse(text, nullptr, false);
--- a/src/libsnipeworks/control_calls_test.cpp
+++ b/src/libsnipeworks/control_calls_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include "snipeworks/json_reader.h"
+
 namespace snipeworks {
 namespace {
 
@@ -54,6 +56,20 @@
   }
 }
 
+// What targets answer to snipe-entry goes through this parser.
+TEST(OddEntries, ThatTakeTheMemoryOfAnEntryHost) {
+  constexpr std::size_t kBytes = std::size_t{8} * 1024 * 1024;
+  std::string values = "[0";
+  while (values.size() < kBytes) {
+    values += ",0";
+  }
+  for (const std::string& text : {std::string(kBytes, '['), values + "]"}) {
+    const long before = PeakMegabytes();
+    EXPECT_FALSE(ParseJson(text));
+    EXPECT_LE(PeakMegabytes() - before, 64) << text.substr(0, 12);
+  }
+}
+
 TEST(OddEntries, WithNumbersOutOfRange) {
   const auto is_valid = [](const std::string& body) {
     return ParseReport("t", body, ReportNames()).has_value();
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -37,6 +37,9 @@
 constexpr std::size_t kMaxHistoryEntries = 50;
 // Routing documents may be as large as the body of a request.
 constexpr std::size_t kMaxDocumentBytes = std::size_t{8} * 1024 * 1024;
+// Operators send up to eight changes at once. A quarter of the 256 MB that the
+// smallest hosts have.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024 * 1024;
 
 // Returns the peer address of a control host that is known by another address:
 // peers use one port on all hosts.
@@ -186,6 +189,7 @@
   server_ = std::move(*server);
   ListenerLimits limits;
   limits.max_body_bytes = kMaxDocumentBytes;
+  limits.max_buffered_bytes = kMaxBufferedBytes;
   auto http = HttpListener::Start(
       loop_, settings_.http(), limits,
       {[this](ExchangeId exchange, const HttpRequest& request) {
--- a/src/libsnipeworks/forward_gateway.cpp
+++ b/src/libsnipeworks/forward_gateway.cpp
@@ -204,6 +204,7 @@
   answer->headers = std::move(result.headers);
   RemoveHopByHopHeaders(answer->headers);
   answer->body = std::move(result.body);
+  answer->held = std::move(result.held);
   outcome.documents = 1;
   outcome.answer = std::move(answer);
   return outcome;
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 
@@ -36,6 +38,12 @@
 constexpr int kMaxSkippedResponses = 64;
 // Memory of a header in addition to its text.
 constexpr std::size_t kHeaderOverheadBytes = sizeof(HttpHeader);
+constexpr std::size_t kMaxHeaders = 256;
+constexpr std::uint64_t kNoContentLength =
+    std::numeric_limits<std::uint64_t>::max();
+// Smaller responses are not counted once they are complete, and not aborted for
+// the memory that others use.
+constexpr std::size_t kLargeResponseBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -59,6 +67,10 @@
       }
       auto& headers = connection.transfer->result.headers;
       if (headers.empty() || connection.value_seen) {
+        if (headers.size() == kMaxHeaders) {
+          connection.transfer->oversized = true;
+          return 1;
+        }
         headers.emplace_back();
         connection.value_seen = false;
         AddBuffered(connection, kHeaderOverheadBytes);
@@ -83,10 +95,15 @@
     };
     callbacks_.on_body = [](http_parser* parser, const char* at,
                             std::size_t size) {
-      std::string& body = ConnectionOf(parser).transfer->result.body;
+      HttpConnection& connection = ConnectionOf(parser);
+      connection.transfer->body_bytes += size;
+      if (connection.skips_response) {
+        return 0;
+      }
+      std::string& body = connection.transfer->result.body;
       const std::size_t before = body.capacity();
       body.append(at, size);
-      AddBuffered(ConnectionOf(parser), body.capacity() - before);
+      AddBuffered(connection, body.capacity() - before);
       return 0;
     };
     callbacks_.on_message_complete = [](http_parser* parser) {
@@ -193,7 +210,7 @@
 
   static void AddBuffered(HttpConnection& connection, std::size_t bytes) {
     connection.transfer->buffered_bytes += bytes;
-    OwnerOf(connection).buffered_bytes_ += bytes;
+    *OwnerOf(connection).buffered_bytes_ += bytes;
   }
 
   HttpTrafficCounters& CountersFor(const HttpTransfer& transfer) {
@@ -201,12 +218,13 @@
   }
 
   void ReleaseBuffered(HttpTransfer& transfer) {
-    buffered_bytes_ -= std::exchange(transfer.buffered_bytes, 0);
+    *buffered_bytes_ -= std::exchange(transfer.buffered_bytes, 0);
   }
 
   static void ResetResult(HttpConnection& connection) {
     connection.value_seen = false;
     connection.head_complete = false;
+    connection.skips_response = false;
     OwnerOf(connection).ReleaseBuffered(*connection.transfer);
     HttpCallResult& result = connection.transfer->result;
     result.headers.clear();
@@ -214,11 +232,20 @@
     result.body.clear();
   }
 
+  // An answer to an earlier call, which arrives late.
+  static bool AnswersAnotherCall(const HttpTransfer& transfer) {
+    const HttpHeader& expected = transfer.call.correlation_header;
+    const std::string_view value = expected.name.empty()
+                                       ? std::string_view()
+                                       : transfer.result.Header(expected.name);
+    return !value.empty() && value != expected.value;
+  }
+
   // Returns 0 to read a body, 1 if the response has none, and -1 if the head is
   // malformed.
   static int OnHeadComplete(HttpConnection& connection) {
     connection.head_complete = true;
-    const HttpTransfer& transfer = *connection.transfer;
+    HttpTransfer& transfer = *connection.transfer;
     if (!std::ranges::all_of(transfer.result.headers, IsHeaderName,
                              &HttpHeader::name)) {
       return -1;
@@ -227,10 +254,17 @@
                              ? transfer.call.shared_request->is_head_method
                              : transfer.call.method == "HEAD";
     const unsigned status = connection.parser.status_code;
-    return is_head || status == HTTP_STATUS_NO_CONTENT ||
-                   status == HTTP_STATUS_NOT_MODIFIED
-               ? 1
-               : 0;
+    connection.skips_response = !IsFinalStatus(static_cast<int>(status)) ||
+                                AnswersAnotherCall(transfer);
+    if (is_head || status == HTTP_STATUS_NO_CONTENT ||
+        status == HTTP_STATUS_NOT_MODIFIED) {
+      return 1;
+    }
+    const std::uint64_t length = connection.parser.content_length;
+    transfer.oversized =
+        length != kNoContentLength &&
+        length > OwnerOf(connection).limits_.max_response_bytes;
+    return transfer.oversized ? -1 : 0;
   }
 
   // Returns 0 to continue, unless too many responses were skipped.
@@ -246,18 +280,14 @@
     if (!IsFinalStatus(static_cast<int>(connection.parser.status_code))) {
       return SkipResponse(transfer);
     }
-    if (!http_should_keep_alive(&connection.parser)) {
+    if (connection.skips_response) {
+      LOG_EVERY_T(WARNING, 1)
+          << "event=answer_of_another_call address=" << transfer.call.address;
       connection.reusable = false;
+      return SkipResponse(transfer);
     }
-    const HttpHeader& expected = transfer.call.correlation_header;
-    if (!expected.name.empty()) {
-      const std::string_view value = transfer.result.Header(expected.name);
-      if (!value.empty() && value != expected.value) {
-        LOG_EVERY_T(WARNING, 1)
-            << "event=answer_of_another_call address=" << transfer.call.address;
-        connection.reusable = false;
-        return SkipResponse(transfer);
-      }
+    if (!http_should_keep_alive(&connection.parser)) {
+      connection.reusable = false;
     }
     connection.response_complete = true;
     return 0;
@@ -489,8 +519,12 @@
     transfer.received_bytes += bytes.size();
     CountersFor(transfer).received_bytes += bytes.size();
     const ParsedBytes parsed = Parse(connection, bytes);
+    const std::size_t overhead_bytes =
+        transfer.received_bytes - transfer.body_bytes;
     const bool too_large =
+        transfer.oversized ||
         transfer.received_bytes > limits_.max_response_bytes ||
+        overhead_bytes > limits_.max_overhead_bytes + transfer.body_bytes ||
         transfer.skipped_responses > kMaxSkippedResponses;
     if (connection.response_complete && !too_large) {
       FinishCall(connection, parsed.count < bytes.size());
@@ -501,11 +535,19 @@
     } else if (parsed.malformed) {
       AbortMalformedResponse(transfer);
     }
-    while (buffered_bytes_ > limits_.max_buffered_bytes) {
-      AbortOversizedResponse(
-          std::ranges::max_element(transfers_, {}, [](const auto& entry) {
-            return entry.second.buffered_bytes;
-          })->second);
+    KeepToMemoryLimit();
+  }
+
+  void KeepToMemoryLimit() {
+    while (*buffered_bytes_ > limits_.max_buffered_bytes) {
+      const auto largest = std::ranges::max_element(
+          transfers_, {},
+          [](const auto& entry) { return entry.second.buffered_bytes; });
+      if (largest == transfers_.end() ||
+          largest->second.buffered_bytes < kLargeResponseBytes) {
+        return;
+      }
+      AbortOversizedResponse(largest->second);
     }
   }
 
@@ -516,7 +558,7 @@
     LOG_EVERY_T(WARNING, 1)
         << "event=answer_too_large address=" << transfer.call.address
         << " received=" << transfer.received_bytes
-        << " held=" << buffered_bytes_;
+        << " held=" << *buffered_bytes_;
     EndCallLater(transfer, HttpCallStatus::kTooLarge);
   }
 
@@ -613,15 +655,24 @@
 
   void CompleteCall(HttpCallId id) {
     auto node = transfers_.extract(id);
-    if (!node.empty()) {
-      ReleaseBuffered(node.mapped());
-      node.mapped().done(std::move(node.mapped().result));
+    if (node.empty()) {
+      return;
     }
+    HttpTransfer& transfer = node.mapped();
+    if (transfer.buffered_bytes >= kLargeResponseBytes) {
+      transfer.result.held =
+          HeldBytes(buffered_bytes_, std::exchange(transfer.buffered_bytes, 0));
+    }
+    ReleaseBuffered(transfer);
+    transfer.done(std::move(transfer.result));
   }
 
   // Ends a call from within a caller's own call: `done` is posted to the loop.
   void EndCallLater(HttpTransfer& transfer, HttpCallStatus status) {
     transfer.result.status = status;
+    transfer.result.headers.clear();
+    // Frees the memory before the end of this iteration of the loop.
+    std::string().swap(transfer.result.body);
     ReleaseBuffered(transfer);
     if (HttpConnection* connection =
             std::exchange(transfer.connection, nullptr)) {
@@ -684,7 +735,9 @@
 
   EventLoop& loop_;
   HttpClientLimits limits_;
-  std::size_t buffered_bytes_ = 0;  ///< Of all responses in progress.
+  /// Of the responses in progress and the large ones in use.
+  std::shared_ptr<std::size_t> buffered_bytes_ =
+      std::make_shared<std::size_t>(0);
   http_parser_settings callbacks_{};
   StringMap<HttpConnectionPool> pools_;
   std::vector<HttpConnection*> connections_;
--- a/src/libsnipeworks/http_client_state.h
+++ b/src/libsnipeworks/http_client_state.h
@@ -33,8 +33,10 @@
   Instant connect_deadline{};  ///< Of the connection attempt.
   HttpCallResult result;
   std::size_t received_bytes = 0;  ///< Bytes read, parsed or skipped.
+  std::size_t body_bytes = 0;      ///< Those of them that belong to bodies.
   int skipped_responses = 0;  ///< Interim responses and those to other calls.
   std::size_t buffered_bytes = 0;  ///< Approximate memory used by `result`.
+  bool oversized = false;          ///< The head exceeds a limit.
 };
 
 /// The connections to one address.
@@ -76,7 +78,8 @@
   bool closing = false;
   bool reusable = true;
   bool value_seen = false;
-  bool head_complete = false;  ///< Of the response that is being read.
+  bool head_complete = false;   ///< Of the response that is being read.
+  bool skips_response = false;  ///< It is interim, or answers another call.
   bool response_complete = false;
   bool cut = false;             ///< Silent in a simulated partition.
   bool counted_in_pool = true;  ///< Whether it counts in pool->open.
--- a/src/libsnipeworks/http_client_test.cpp
+++ b/src/libsnipeworks/http_client_test.cpp
@@ -1,6 +1,8 @@
 #include "snipeworks/http_client.h"
 
+#include <array>
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -383,6 +385,112 @@
             static_cast<std::uint64_t>(too_large));
 }
 
+HttpCallStatus StatusOfResponse(const std::string& response,
+                                HttpClientLimits limits = {}) {
+  const ScriptedServer server(
+      {[&](const Socket& socket) { RespondOnce(socket, response); }});
+  EventLoop loop;
+  HttpClient client(loop, limits);
+  HttpCall call;
+  call.address = server.address();
+  call.correlation_header = {"Id", "mine"};
+  HttpCallStatus status = HttpCallStatus::kAborted;
+  client.Send(call, [&](const HttpCallResult& result) {
+    status = result.status;
+    loop.Stop();
+  });
+  loop.Run();
+  return status;
+}
+
+std::string Chunked(std::size_t chunks, std::size_t chunk_bytes) {
+  std::array<char, 32> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", chunk_bytes);
+  std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t i = 0; i < chunks; ++i) {
+    text += size.data() + std::string(chunk_bytes, 'x') + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
+// Tiny headers and chunks take many times their bytes in memory and time.
+TEST(HttpClients, AbortResponsesThatAreMostlyOverhead) {
+  std::string headers = "HTTP/1.1 200 OK\r\n";
+  for (int i = 0; i < 300; ++i) {
+    headers += "a:\r\n";
+  }
+  EXPECT_EQ(StatusOfResponse(headers), HttpCallStatus::kTooLarge);
+  EXPECT_EQ(StatusOfResponse(Chunked(100'000, 1)), HttpCallStatus::kTooLarge);
+  EXPECT_EQ(StatusOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n"),
+            HttpCallStatus::kLost);
+  EXPECT_EQ(
+      StatusOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"),
+      HttpCallStatus::kTooLarge);
+  EXPECT_EQ(StatusOfResponse(Chunked(1000, 4096)), HttpCallStatus::kAnswered);
+  EXPECT_EQ(StatusOfResponse(Chunked(1000, 16)), HttpCallStatus::kAnswered);
+}
+
+// The body of a late answer to another call is not kept.
+TEST(HttpClients, SkipALargeResponseToAnotherCall) {
+  HttpClientLimits limits;
+  limits.max_buffered_bytes = std::size_t{1024} * 1024;
+  EXPECT_EQ(
+      StatusOfResponse("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4000000"
+                       "\r\n\r\n" +
+                           std::string(4'000'000, 'x') +
+                           "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2"
+                           "\r\n\r\nok",
+                       limits),
+      HttpCallStatus::kAnswered);
+}
+
+// A search holds the answers of its parts until it ends.
+TEST(HttpClients, CountLargeResponsesForAsLongAsTheyAreInUse) {
+  constexpr std::size_t kBodyBytes = 600'000;
+  const std::string large =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+      "\r\n\r\n" + std::string(kBodyBytes, 'x');
+  const std::vector<std::string> responses = {large, large, kCompleteResponse,
+                                              large};
+  const ScriptedServer server({[&](const Socket& socket) {
+                                 RespondOnce(socket, responses[0]);
+                                 RespondOnce(socket, responses[1]);
+                               },
+                               [&](const Socket& socket) {
+                                 RespondOnce(socket, responses[2]);
+                                 RespondOnce(socket, responses[3]);
+                               }});
+  EventLoop loop;
+  HttpClientLimits limits;
+  limits.max_buffered_bytes = std::size_t{1024} * 1024;
+  HttpClient client(loop, limits);
+  std::vector<HttpCallResult> held;
+  std::vector<HttpCallStatus> statuses;
+  std::function<void()> next = [&] {
+    HttpCall call;
+    call.address = server.address();
+    client.Send(call, [&](HttpCallResult&& result) {
+      statuses.push_back(result.status);
+      if (result.status == HttpCallStatus::kAnswered) {
+        held.push_back(std::move(result));
+      } else {
+        held.clear();
+      }
+      if (statuses.size() == responses.size()) {
+        loop.Stop();
+      } else {
+        loop.Post(next);
+      }
+    });
+  };
+  next();
+  loop.Run();
+  EXPECT_EQ(
+      statuses,
+      (std::vector{HttpCallStatus::kAnswered, HttpCallStatus::kTooLarge,
+                   HttpCallStatus::kAnswered, HttpCallStatus::kAnswered}));
+}
+
 HttpCallResult CallServerWithHeaders(const std::string& headers) {
   const ScriptedServer server({[&](const Socket& socket) {
     RespondOnce(socket,
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -33,7 +33,14 @@
 // Callers send their first request as soon as they have connected; this covers
 // its transit, including the loss of one packet.
 constexpr Duration kFirstRequestWait = milliseconds(500);
+// Of a request; a header takes more memory than its text.
+constexpr std::size_t kMaxHeaders = 256;
+constexpr std::size_t kHeaderOverheadBytes = sizeof(HttpHeader);
+// Connections that hold less are not closed for the memory that others use.
+constexpr std::size_t kLargeConnectionBytes = std::size_t{64} * 1024;
+constexpr const char* kMemoryRetryAfterSeconds = "1";
 constexpr int kBadRequestStatus = 400;
+constexpr int kUnavailableStatus = 503;
 constexpr int kTimeoutStatus = 408;
 constexpr int kTooLargeStatus = 413;
 constexpr int kHeadersTooLargeStatus = 431;
@@ -187,6 +194,8 @@
     HttpRequest request;
     std::string pipelined;
     std::size_t header_bytes = 0;
+    std::size_t held_bytes = 0;    // Of the request and what follows it.
+    std::size_t unsent_bytes = 0;  // Of responses.
     bool value_seen = false;
     bool reading = false;
     bool in_request = false;
@@ -221,6 +230,16 @@
              ioctl(socket, FIONREAD, &bytes) == 0 && bytes > 0;
     }
 
+    void Hold(std::size_t bytes) {
+      held_bytes += bytes;
+      owner->buffered_bytes_ += bytes;
+    }
+
+    void Release(std::size_t bytes) {
+      held_bytes -= bytes;
+      owner->buffered_bytes_ -= bytes;
+    }
+
     void OnBegin() {
       request = HttpRequest{};
       header_bytes = 0;
@@ -233,7 +252,9 @@
 
     int CountHeaderBytes(std::size_t bytes) {
       header_bytes += bytes;
-      if (header_bytes <= owner->limits_.max_header_bytes) {
+      Hold(bytes);
+      if (header_bytes <= owner->limits_.max_header_bytes &&
+          request.headers.size() <= kMaxHeaders) {
         return 0;
       }
       reject_status = kHeadersTooLargeStatus;
@@ -248,6 +269,7 @@
     int OnHeaderName(std::string_view piece) {
       if (request.headers.empty() || value_seen) {
         request.headers.emplace_back();
+        Hold(kHeaderOverheadBytes);
         value_seen = false;
       }
       request.headers.back().name.append(piece);
@@ -291,7 +313,9 @@
         reject_status = kTooLargeStatus;
         return 1;
       }
+      const std::size_t before = request.body.capacity();
       request.body.append(piece);
+      Hold(request.body.capacity() - before);
       return 0;
     }
 
@@ -418,15 +442,68 @@
     connection.received_any = true;
     if (connection.exchange == 0 && connection.pipelined.empty()) {
       Parse(connection, bytes);
-      return;
+    } else {
+      AppendPipelined(connection, bytes);
+      if (connection.pipelined.size() > kMaxPipelinedBytes) {
+        StopReading(connection);
+      }
     }
+    KeepToMemoryLimit();
+  }
+
+  void AppendPipelined(Connection& connection, std::string_view bytes) {
     connection.pipelined.append(bytes);
-    if (connection.pipelined.size() > kMaxPipelinedBytes) {
-      connection.reading = false;
-      uv_read_stop(reinterpret_cast<uv_stream_t*>(&connection.handle));
+    connection.Hold(bytes.size());
+  }
+
+  void ResumeReading(Connection& connection) {
+    if (connection.pipelined.size() <= kMaxPipelinedBytes &&
+        connection.unsent_bytes == 0) {
+      StartReading(connection);
+    }
+  }
+
+  static void StopReading(Connection& connection) {
+    connection.reading = false;
+    uv_read_stop(reinterpret_cast<uv_stream_t*>(&connection.handle));
+  }
+
+  void KeepToMemoryLimit() {
+    while (buffered_bytes_ > limits_.max_buffered_bytes) {
+      Connection* request = Largest([](const Connection& connection) {
+        return connection.in_request ? connection.held_bytes : 0;
+      });
+      Connection* unread = Largest(
+          [](const Connection& connection) { return connection.unsent_bytes; });
+      if (request != nullptr) {
+        LOG_EVERY_T(WARNING, 1)
+            << "event=request_refused_for_memory held=" << request->held_bytes;
+        RejectRequest(*request, kUnavailableStatus,
+                      "too many bytes of requests are held");
+      } else if (unread != nullptr) {
+        LOG_EVERY_T(WARNING, 1)
+            << "event=caller_does_not_read unsent=" << unread->unsent_bytes;
+        Close(*unread);
+      } else {
+        return;
+      }
     }
   }
 
+  // The connection with the most bytes, or null if none has many.
+  template <typename BytesOf>
+  Connection* Largest(const BytesOf& bytes_of) const {
+    Connection* largest = nullptr;
+    std::size_t most = kLargeConnectionBytes;
+    for (const auto& [id, connection] : connections_) {
+      if (const std::size_t bytes = bytes_of(*connection); bytes >= most) {
+        largest = connection;
+        most = bytes;
+      }
+    }
+    return largest;
+  }
+
   // Parses up to the end of one request; the rest waits in `pipelined`.
   void Parse(Connection& connection, std::string_view bytes) {
     const std::size_t used = http_parser_execute(
@@ -443,7 +520,7 @@
       const bool switched = connection.parser.upgrade != 0;
       connection.keep_alive = connection.keep_alive && !switched;
       if (!switched) {
-        connection.pipelined.append(bytes.substr(std::min(used, bytes.size())));
+        AppendPipelined(connection, bytes.substr(std::min(used, bytes.size())));
       }
       DispatchRequest(connection);
       return;
@@ -466,10 +543,16 @@
     connection.keep_alive = false;
     connection.in_request = false;
     connection.is_head = false;
+    connection.request.headers.clear();
+    // Frees the memory, as an assignment does not.
+    std::string().swap(connection.request.body);
     HttpResponse response;
     response.status = status;
     response.content_type = "text/plain";
     response.body = std::string(reason) + "\n";
+    if (status == kUnavailableStatus) {
+      response.headers = {{"Retry-After", kMemoryRetryAfterSeconds}};
+    }
     Respond(connection, response);
   }
 
@@ -520,15 +603,23 @@
       head += response.body;
     }
     connection.since = MonotonicNow();
+    connection.Release(connection.held_bytes - connection.pipelined.size());
     Write(connection, std::move(head));
     if (connection.closing) {
       return;
     }
     if (close) {
       Linger(connection);
-      return;
+    } else if (connection.unsent_bytes > 0) {
+      // A caller that does not read its responses gets no further ones.
+      StopReading(connection);
+    } else {
+      ReadNextRequest(connection);
     }
-    StartReading(connection);
+  }
+
+  void ReadNextRequest(Connection& connection) {
+    ResumeReading(connection);
     if (!connection.pipelined.empty()) {
       // Posted to the loop, so that pipelined requests with synchronous
       // responses do not recurse.
@@ -536,14 +627,26 @@
     }
   }
 
+  void OnWritten(Connection& connection, std::size_t bytes) {
+    connection.unsent_bytes -= bytes;
+    buffered_bytes_ -= bytes;
+    const bool idle = connection.exchange == 0 && !connection.in_request;
+    if (connection.unsent_bytes == 0 && idle && !connection.lingering) {
+      ReadNextRequest(connection);
+    }
+  }
+
   void ParsePipelined(std::uint64_t id) {
     auto found = connections_.find(id);
     if (found == connections_.end() || found->second->exchange != 0 ||
         found->second->lingering) {
       return;
     }
-    const std::string bytes = std::exchange(found->second->pipelined, {});
-    Parse(*found->second, bytes);
+    Connection& connection = *found->second;
+    const std::string bytes = std::exchange(connection.pipelined, {});
+    connection.Release(bytes.size());
+    Parse(connection, bytes);
+    ResumeReading(connection);
   }
 
   void Write(Connection& connection, std::string bytes) {
@@ -566,12 +669,20 @@
                          static_cast<unsigned>(write->bytes.size() - done));
     const int queued = uv_write(
         &write->request, stream, &buffer, 1, [](uv_write_t* request, int) {
-          delete static_cast<QueuedWrite*>(request->data);
+          auto* written = static_cast<QueuedWrite*>(request->data);
+          auto& writer = *static_cast<Connection*>(request->handle->data);
+          if (!writer.closing) {
+            writer.owner->OnWritten(writer, written->bytes.size());
+          }
+          delete written;
         });
     if (queued != 0) {
       delete write;
       Close(connection);
+      return;
     }
+    connection.unsent_bytes += write->bytes.size();
+    buffered_bytes_ += write->bytes.size();
   }
 
   // Sends queued bytes and the end of the stream, then waits for the caller to
@@ -579,6 +690,7 @@
   // response.
   void Linger(Connection& connection) {
     connection.lingering = true;
+    connection.Release(connection.pipelined.size());
     connection.pipelined.clear();
     StartReading(connection);
     auto* shutdown = new uv_shutdown_t;
@@ -601,6 +713,7 @@
       return;
     }
     connections_.erase(connection.id);
+    buffered_bytes_ -= connection.held_bytes + connection.unsent_bytes;
     const ExchangeId exchange = std::exchange(connection.exchange, 0);
     uv_close(reinterpret_cast<uv_handle_t*>(&connection.handle),
              [](uv_handle_t* handle) {
@@ -651,6 +764,7 @@
   std::unordered_map<std::uint64_t, Connection*> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;
   std::size_t max_connections_seen_ = 0;
+  std::size_t buffered_bytes_ = 0;
   std::uint64_t next_connection_ = 1;
   ExchangeId next_exchange_ = 1;
   bool close_after_responses_ = false;
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,6 +27,9 @@
 // `caller` in another thread; the loop stops when `caller` returns.
 class ListenerFixture : public ::testing::Test {
  protected:
+  // As in the programs, a write to a closed connection must fail only.
+  ListenerFixture() { std::signal(SIGPIPE, SIG_IGN); }
+
   void RunWithCaller(const ListenerLimits& limits,
                      const std::function<void(std::uint16_t port)>& caller) {
     EventLoop loop;
@@ -158,6 +162,97 @@
   EXPECT_TRUE(requests.empty());
 }
 
+TEST_F(Listeners, RefuseMalformedHeaderNames) {
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    caller.Send(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n"
+        "0\r\n\r\n");
+    EXPECT_TRUE(caller.ReadAll().starts_with("HTTP/1.1 400 "));
+  });
+  EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(Listeners, RefuseHeadsOfManySmallHeaders) {
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 300; ++i) {
+      head += "a:\r\n";
+    }
+    caller.Send(head);
+    EXPECT_TRUE(caller.ReadAll().starts_with("HTTP/1.1 431 "));
+  });
+}
+
+// A caller that sends requests and reads no responses filled the memory.
+TEST_F(Listeners, DoNotReadFromCallersThatDoNotReadTheirResponses) {
+  response.body = std::string(1000, 'x');
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string many;
+    while (many.size() < std::size_t{64} * 1024) {
+      many += request;
+    }
+    // The buffers of the sockets take some megabytes in each direction.
+    std::size_t sent = 0;
+    while (sent < std::size_t{64} * 1024 * 1024 && caller.TrySend(many)) {
+      sent += many.size();
+    }
+    EXPECT_LT(sent, std::size_t{32} * 1024 * 1024);
+    const std::string first = "HTTP/1.1 200 OK\r\n";
+    EXPECT_EQ(caller.ReadUntil("\r\n"), first);
+  });
+}
+
+// The rest of a long body arrives while its beginning waits behind another
+// request.
+TEST_F(Listeners, ReadALongBodyThatIsPipelined) {
+  hold_responses = true;
+  response.body = "ok";
+  const std::string body(200'000, 'b');
+  RunWithCaller({}, [&](std::uint16_t port) {
+    const Socket caller(port);
+    caller.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.Send("POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 200000" +
+                ("\r\n\r\n" + body.substr(0, 150'000)));
+    std::this_thread::sleep_for(milliseconds(100));
+    Post([&] {
+      hold_responses = false;
+      listener->SendResponse(held_exchanges.front(), response);
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.Send(body.substr(150'000));
+    caller.ReadUntil("ok");
+    EXPECT_TRUE(caller.ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+  });
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_EQ(requests[1].body, body);
+}
+
+TEST_F(Listeners, RefuseTheLargestRequestBeyondTheirMemoryLimit) {
+  ListenerLimits limits;
+  limits.max_buffered_bytes = std::size_t{1024} * 1024;
+  limits.max_body_bytes = std::size_t{1024} * 1024;
+  response.body = "ok";
+  RunWithCaller(limits, [](std::uint16_t port) {
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n";
+    const Socket large(port);
+    large.Send(head + std::string(800'000, 'x'));
+    std::this_thread::sleep_for(milliseconds(50));
+    const Socket smaller(port);
+    smaller.Send(head + std::string(400'000, 'x'));
+    const std::string refusal = large.ReadUntil("\r\n\r\n");
+    EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503 ")) << refusal;
+    EXPECT_NE(refusal.find("Retry-After: "), std::string::npos);
+    smaller.Send(std::string(500'000, 'x'));
+    EXPECT_TRUE(smaller.ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+  });
+  EXPECT_EQ(requests.size(), 1U);
+}
+
 TEST_F(Listeners, ReportWhenACallerDisconnects) {
   hold_responses = true;
   RunWithCaller({}, [](std::uint16_t port) {
--- a/src/libsnipeworks/json_reader.cpp
+++ b/src/libsnipeworks/json_reader.cpp
@@ -10,6 +10,10 @@
 
 const json kEmptyArray = json::array();
 
+// A parsed value takes up to a hundred bytes, many times its text.
+constexpr std::size_t kMaxValues = 500'000;
+constexpr std::size_t kMaxNesting = 32;
+
 }  // namespace
 
 JsonReader::JsonReader(const json& object, std::string path)
@@ -102,7 +106,32 @@
                  std::count(before.begin(), before.end(), '\n'));
 }
 
+// Braces, brackets and commas in strings count as well.
+Result<void> CheckJsonExtent(std::string_view text) {
+  std::size_t values = 1;
+  std::size_t depth = 0;
+  for (const char c : text) {
+    if (c == '[' || c == '{') {
+      ++values;
+      ++depth;
+    } else if (c == ']' || c == '}') {
+      depth -= depth > 0 ? 1 : 0;
+    } else if (c == ',') {
+      ++values;
+    }
+    if (depth > kMaxNesting || values > kMaxValues) {
+      return Fail(ErrorKind::kBadRequest, depth > kMaxNesting
+                                              ? "the body is nested too deeply"
+                                              : "the body has too many values");
+    }
+  }
+  return {};
+}
+
 Result<json> ParseJson(std::string_view text) {
+  if (auto bounded = CheckJsonExtent(text); !bounded) {
+    return tl::unexpected(bounded.error());
+  }
   try {
     return json::parse(text, nullptr, true, true);
   } catch (const json::parse_error& error) {
--- a/src/libsnipeworks/program.cpp
+++ b/src/libsnipeworks/program.cpp
@@ -1,5 +1,7 @@
 #include "snipeworks/program.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -9,6 +11,12 @@
 
 namespace snipeworks {
 
+namespace {
+
+constexpr int kMmapThresholdBytes = 128 * 1024;
+
+}  // namespace
+
 const char* VersionText() {
   return "snipeworks 0.1.0";
 }
@@ -49,6 +57,9 @@
   // A write above the file size limit must fail, as on a full disk, and not end
   // the process.
   std::signal(SIGXFSZ, SIG_IGN);
+  // Large buffers return to the system as soon as they are freed. By default
+  // the threshold grows with their size, and the memory stays with the process.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = parsed.result["log-level"].as<int>();
   google::InitGoogleLogging(argv[0]);
