One limit on what clients hold, over all listeners of a process

900 clients that stop one byte short of a legal body took 325 MB of an entry host, alike at a route, without one and at the readiness path; chunks of one byte held up the others; a process could run out of descriptors. Limits held for one connection or one listener only, a stopped body was kept for 30 s, and bodies were kept that nobody reads.

Defaults: 48 MB at entry hosts, 64 MB at control hosts, three quarters of the descriptors; settings client_memory_kb, client_connections, client_stall_ms; two metrics. - A client turned away gets 503 with Retry-After while its request is being read, or is disconnected; never while its request runs. - Handlers say how much of a body they need. Without a route, at readiness, metrics and unknown control calls nothing is kept; a request whose route appeared after its head gets 503. - A body or response that stands still for 10 s ends (408, or closed). - A connection reads 16 KB in one iteration of the loop instead of 2 MB. - A head of legal size may have any number of fields: it is charged for.

Evidence: 388 unit tests pass. Each new mutation fails its tests except one whose test was too weak and is mended (a read time-out looked like a closed connection).

--- a/src/include/snipeworks/control_calls.h
+++ b/src/include/snipeworks/control_calls.h
@@ -45,6 +45,12 @@
 Result<ControlCall> DecodeControlCall(const HttpRequest& request,
                                       const ControlNames& names);
 
+/// Bytes of the body that DecodeControlCall and `allow_faults` need of a
+/// request with this head.
+std::size_t NeededBodyBytes(const HttpRequest& head,
+                            const ControlNames& names,
+                            bool allow_faults);
+
 /// Parses and validates a routing document. Fails with kBadRequest.
 Result<Routing> ParseRouting(std::string_view text, const RoutingNames& names);
 
--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -96,6 +96,7 @@
   void LogStateChanges();
   void LogRedundancy(Instant now);
   std::string MembersText() const;
+  Result<void> StartListeners();
 
   EventLoop& loop_;
   HostSettings settings_;
@@ -110,6 +111,7 @@
   ControlMembership membership_;
   ControlMetrics metrics_;
   std::unique_ptr<PeerServer> server_;
+  ClientLimiter clients_;
   std::unique_ptr<HttpListener> http_;
   std::unique_ptr<HttpListener> metrics_listener_;
   std::multimap<LogIndex, PendingProposal> pending_proposals_;
--- a/src/include/snipeworks/control_metrics.h
+++ b/src/include/snipeworks/control_metrics.h
@@ -27,6 +27,8 @@
   std::uint64_t entry_hosts = 0;
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
+  std::size_t client_held_bytes = 0;  ///< Memory that clients hold.
+  std::uint64_t clients_turned_away = 0;
   PeerTraffic peer_traffic;
 };
 
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -30,8 +30,10 @@
   std::uint64_t relayed_here = 0;  ///< Requests run for other hosts.
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
-  std::size_t control_hosts = 0;  ///< That answered recently.
-  std::size_t connections = 0;    ///< Open connections of callers.
+  std::size_t control_hosts = 0;      ///< That answered recently.
+  std::size_t connections = 0;        ///< Open connections of callers.
+  std::size_t client_held_bytes = 0;  ///< Memory that clients hold.
+  std::uint64_t clients_turned_away = 0;
   PeerTraffic peer_traffic;
   HttpClientTraffic target_traffic;
 };
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -107,6 +107,8 @@
   void OnTargets(const std::vector<Announcement>& changes);
   std::vector<Announcement> DrainingTargets() const;
   void OnRouting(const Routing& routing);
+  void SetListenerLimits(const CallerLimits& limits);
+  bool HasRoute(const HttpRequest& head) const;
   void OnConditions(const std::vector<TargetCondition>& conditions);
   void LogReadiness();
   void LogTraffic(Instant now);
@@ -128,6 +130,7 @@
   ContactMonitor contact_;
   RequestRelay relay_;
   LoopTimer timer_;
+  ClientLimiter clients_;
   std::unique_ptr<HttpListener> front_;
   std::unique_ptr<HttpListener> ready_listener_;
   std::unique_ptr<HttpListener> metrics_listener_;
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -2,6 +2,7 @@
 #define SNIPEWORKS_HOST_SETTINGS_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -73,6 +74,15 @@
   /// Part of a route's latency objective that the network between the caller
   /// and this host takes, both ways.
   Duration answer_margin() const { return answer_margin_; }
+  /// Bytes of memory that clients may hold at all listeners together; 0 for the
+  /// program's default.
+  std::size_t client_memory_bytes() const { return client_memory_bytes_; }
+  /// Connections of clients at all listeners together; 0 for as many as the
+  /// descriptors of the process allow.
+  std::size_t client_connections() const { return client_connections_; }
+  /// Time after which a client that moves no byte of a body or a response is
+  /// turned away.
+  Duration client_stall() const { return client_stall_; }
   /// Policy of forwarded requests, for what their route does not set.
   const GroupPolicy& policy() const { return policy_; }
 
@@ -99,6 +109,9 @@
   Duration report_interval_ = std::chrono::seconds(1);
   Duration shutdown_limit_ = std::chrono::seconds(65);
   Duration answer_margin_{};
+  std::size_t client_memory_bytes_ = 0;
+  std::size_t client_connections_ = 0;
+  Duration client_stall_ = std::chrono::seconds(10);
   GroupPolicy policy_;
 };
 
--- a/src/include/snipeworks/http_listener.h
+++ b/src/include/snipeworks/http_listener.h
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "snipeworks/address.h"
+#include "snipeworks/client_limiter.h"
 #include "snipeworks/clock.h"
 #include "snipeworks/error.h"
 #include "snipeworks/event_loop.h"
@@ -19,15 +20,14 @@
 struct ListenerLimits {
   std::size_t max_header_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{256} * 1024;
-  /// Bytes of memory for all requests that are read or unanswered and for
-  /// responses that are not sent yet, together. Above it, the largest request
-  /// that is still being read is refused, or the caller that leaves most of its
-  /// responses unread is disconnected.
-  std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
   /// From the first byte of a request to the end of its headers.
   Duration header_timeout = std::chrono::seconds(10);
-  /// From the first byte of a request to its last.
+  /// From the first byte of a request to its last, and for a client to read a
+  /// response.
   Duration request_timeout = std::chrono::seconds(30);
+  /// Time in which a client neither sends a byte of a body that is due nor
+  /// reads one of a response.
+  Duration stall_timeout = std::chrono::seconds(10);
   /// Time without a request in progress.
   Duration idle_timeout = std::chrono::seconds(60);
   /// Connections beyond this are reset; 0 for no limit.
@@ -51,14 +51,20 @@
     std::function<void(ExchangeId, HttpRequest)> on_request;
     /// The connection of an unanswered request has closed.
     std::function<void(ExchangeId)> on_disconnect;
+    /// Bytes that are needed of the body of the request with this head. What
+    /// exceeds them is read, up to the limit, and not kept. Null: all.
+    std::function<std::size_t(const HttpRequest& head)> needed_body_bytes = {};
   };
 
-  /// Listens on `address`. Fails with kInternal if that is impossible.
+  /// Listens on `address`, for clients that `clients` limits; it must outlive
+  /// the listener. Null: limits of the listener's own, for tests and stand-ins.
+  /// Fails with kInternal if listening is impossible.
   static Result<std::unique_ptr<HttpListener>> Start(
       EventLoop& loop,
       const Address& address,
       const ListenerLimits& limits,
-      Handlers handlers);
+      Handlers handlers,
+      ClientLimiter* clients = nullptr);
 
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
--- a/src/include/snipeworks/http_message.h
+++ b/src/include/snipeworks/http_message.h
@@ -46,6 +46,8 @@
   std::string body;
   /// Unique within the server.
   std::uint64_t connection_id = 0;
+  /// Part of the body was not kept, as the handler asked for less of it.
+  bool body_truncated = false;
 
   /// The value of header `name`, ignoring case, or empty.
   std::string_view Header(std::string_view name) const;
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -17,6 +17,7 @@
 
 // Below 2^53: a double represents every integer up to there.
 constexpr double kMaxExactInteger = 9.0e15;
+constexpr char kFaultsPath[] = "/v1/faults";
 // A report has a dozen short members.
 constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
 
@@ -308,6 +309,22 @@
   return announcement;
 }
 
+std::size_t NeededBodyBytes(const HttpRequest& head,
+                            const ControlNames& names,
+                            bool allow_faults) {
+  if (head.path == names.replace_path) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const bool reports =
+      !TargetInPath(head.path, names.report_prefix, names.report_suffix)
+           .empty() ||
+      !TargetInPath(head.path, names.report_prefix, names.leave_suffix)
+           .empty() ||
+      (allow_faults && head.path == kFaultsPath);
+  // One byte more shows that the body is too large.
+  return head.method == "POST" && reports ? kMaxReportBytes + 1 : 0;
+}
+
 Result<ControlCall> DecodeControlCall(const HttpRequest& request,
                                       const ControlNames& names) {
   const bool post = request.method == "POST";
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -35,11 +35,9 @@
 // report that fails at one control host is first retried at the next one.
 constexpr int kMissedReportsPerLease = 5;
 constexpr std::size_t kMaxHistoryEntries = 50;
-// Routing documents may be as large as the body of a request.
-constexpr std::size_t kMaxDocumentBytes = std::size_t{8} * 1024 * 1024;
 // Operators send up to eight changes at once. A quarter of the 256 MB that the
 // smallest hosts have.
-constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t kClientMemoryBytes = std::size_t{64} * 1024 * 1024;
 
 // Returns the peer address of a control host that is known by another address:
 // peers use one port on all hosts.
@@ -106,7 +104,8 @@
                   settings_.peer().ToString(),
                   settings_.zone(),
                   settings_.report_interval() * kMissedReportsPerLease,
-                  [this] { return View(); }) {
+                  [this] { return View(); }),
+      clients_(loop, ClientLimitsFor(settings_, kClientMemoryBytes)) {
   if (store_) {
     OpenNode();
   }
@@ -187,48 +186,8 @@
     return tl::unexpected(server.error());
   }
   server_ = std::move(*server);
-  ListenerLimits limits;
-  limits.max_body_bytes = kMaxDocumentBytes;
-  limits.max_buffered_bytes = kMaxBufferedBytes;
-  auto http = HttpListener::Start(
-      loop_, settings_.http(), limits,
-      {[this](ExchangeId exchange, const HttpRequest& request) {
-         OnHttp(exchange, request);
-       },
-       [](ExchangeId) {}});
-  if (!http) {
-    return tl::unexpected(http.error());
-  }
-  http_ = std::move(*http);
-  if (settings_.metrics().port != 0) {
-    auto listener = HttpListener::Start(
-        loop_, settings_.metrics(), {},
-        {[this](ExchangeId exchange, const HttpRequest&) {
-           ControlGauges gauges;
-           const ControlStatus status = Status();
-           gauges.leads = status.role == "leader";
-           gauges.current = status.current;
-           gauges.term = status.term;
-           gauges.commit_index = status.commit;
-           gauges.members = status.members.size();
-           gauges.redundancy =
-               node_ ? node_->redundancy(MonotonicNow()) : std::nullopt;
-           gauges.routing_version = state_.routing().version;
-           gauges.targets = membership_.directory().view().All().size();
-           gauges.departures = state_.departures();
-           gauges.entry_hosts = membership_.entry_hosts();
-           gauges.log_lines = log_.lines();
-           gauges.log_lines_dropped = log_.dropped();
-           gauges.peer_traffic = peers_.traffic();
-           metrics_listener_->SendResponse(
-               exchange,
-               {200, "text/plain; version=0.0.4", metrics_.Serialize(gauges)});
-         },
-         [](ExchangeId) {}});
-    if (!listener) {
-      return tl::unexpected(listener.error());
-    }
-    metrics_listener_ = std::move(*listener);
+  if (Result<void> listening = StartListeners(); !listening) {
+    return listening;
   }
   last_iteration_at_ = MonotonicNow();
   last_current_at_ = last_iteration_at_;
--- a/src/libsnipeworks/control_metrics.cpp
+++ b/src/libsnipeworks/control_metrics.cpp
@@ -82,6 +82,8 @@
   set("entry_hosts", static_cast<double>(gauges.entry_hosts));
   set("log_lines", static_cast<double>(gauges.log_lines));
   set("log_lines_dropped", static_cast<double>(gauges.log_lines_dropped));
+  set("client_held_bytes", static_cast<double>(gauges.client_held_bytes));
+  set("clients_turned_away", static_cast<double>(gauges.clients_turned_away));
   set("peer_sent_bytes", static_cast<double>(gauges.peer_traffic.bytes_sent));
   set("peer_received_bytes",
       static_cast<double>(gauges.peer_traffic.bytes_received));
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -132,6 +132,14 @@
   Gauge& connections = AddGauge(registry,
                                 "snipeworks_caller_connections",
                                 "Open connections of callers");
+  Gauge& client_held_bytes =
+      AddGauge(registry,
+               "snipeworks_client_held_bytes",
+               "Memory that clients hold at all listeners");
+  Gauge& clients_turned_away =
+      AddGauge(registry,
+               "snipeworks_clients_turned_away",
+               "Clients refused or disconnected for what clients hold");
   Gauge& target_connections =
       AddGauge(registry,
                "snipeworks_target_connections_opened",
@@ -231,6 +239,9 @@
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
   impl_->connections.Set(static_cast<double>(gauges.connections));
+  impl_->client_held_bytes.Set(static_cast<double>(gauges.client_held_bytes));
+  impl_->clients_turned_away.Set(
+      static_cast<double>(gauges.clients_turned_away));
   impl_->target_connections.Set(
       static_cast<double>(gauges.target_traffic.connections_opened()));
   impl_->SetTraffic(0, gauges.target_traffic.own_zone);
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -38,9 +38,9 @@
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
 // No other host that is known serves either: time for one to regain targets.
 constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
-// Of a relayed request, besides the caller's headers and body.
-constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
-constexpr char kFaultsPath[] = "/v1/faults";
+// Of the 160 MB that the smallest hosts have; responses of targets take up to
+// 32 MB, the program and its targets the rest.
+constexpr std::size_t kClientMemoryBytes = std::size_t{48} * 1024 * 1024;
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
 
@@ -73,30 +73,6 @@
   return milliseconds(millis);
 }
 
-ListenerLimits ToListenerLimits(const CallerLimits& limits) {
-  ListenerLimits result;
-  if (limits.max_header_bytes > 0) {
-    result.max_header_bytes = limits.max_header_bytes;
-  }
-  if (limits.max_body_bytes > 0) {
-    result.max_body_bytes = limits.max_body_bytes;
-  }
-  if (limits.header_timeout_ms > 0) {
-    result.header_timeout = milliseconds(limits.header_timeout_ms);
-  }
-  if (limits.idle_timeout_ms > 0) {
-    result.idle_timeout = milliseconds(limits.idle_timeout_ms);
-  }
-  return result;
-}
-
-ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
-  ListenerLimits limits;
-  limits.max_body_bytes =
-      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
-  return limits;
-}
-
 }  // namespace
 
 ForwardHost::ForwardHost(EventLoop& loop,
@@ -157,62 +133,12 @@
                 },
                 [this] { FailOverAll(MonotonicNow()); }}),
       relay_(loop, RelaySelector(settings_.zone(), random_.Next())),
-      timer_(loop, [this] {
-        searches_.Tick(MonotonicNow());
-        SetNextTimer();
-      }) {}
-
-Result<void> ForwardHost::StartListeners() {
-  const auto start = [this](std::unique_ptr<HttpListener>& listener,
-                            const Address& address,
-                            HttpListener::Handlers handlers) -> Result<void> {
-    auto started = HttpListener::Start(loop_, address, {}, std::move(handlers));
-    if (!started) {
-      return tl::unexpected(started.error());
-    }
-    listener = std::move(*started);
-    return {};
-  };
-  auto started =
-      start(front_, settings_.http(),
-            {[this](ExchangeId exchange, HttpRequest request) {
-               OnRequest(exchange, std::move(request));
-             },
-             [this](ExchangeId exchange) { OnCallerDisconnected(exchange); }});
-  if (started) {
-    started = start(
-        relay_listener_, settings_.peer(),
-        {[this](ExchangeId exchange, const HttpRequest& request) {
-           OnRelayedRequest(exchange, request);
-         },
-         [this](ExchangeId exchange) { OnOriginDisconnected(exchange); }});
-  }
-  if (started && settings_.ready().port != 0) {
-    started = start(ready_listener_, settings_.ready(),
-                    {[this](ExchangeId exchange, const HttpRequest& request) {
-                       const bool good =
-                           request.path == names_.ready_path && ready();
-                       ready_listener_->SendResponse(
-                           exchange, {good ? 200 : 503, "text/plain",
-                                      good ? "ready\n" : "not ready\n"});
-                     },
-                     [](ExchangeId) {}});
-  }
-  if (started && settings_.metrics().port != 0) {
-    started = start(
-        metrics_listener_, settings_.metrics(),
-        {[this](ExchangeId exchange, const HttpRequest& request) {
-           const bool fault =
-               settings_.allow_faults() && request.path == kFaultsPath;
-           metrics_listener_->SendResponse(
-               exchange, fault ? OnFaultInjection(request)
-                               : HttpResponse{200, "text/plain; version=0.0.4",
-                                              MetricsPage()});
-         },
-         [](ExchangeId) {}});
-  }
-  return started;
-}
+      timer_(loop,
+             [this] {
+               searches_.Tick(MonotonicNow());
+               SetNextTimer();
+             }),
+      clients_(loop, ClientLimitsFor(settings_, kClientMemoryBytes)) {}
 
 Result<void> ForwardHost::Start() {
   if (Result<void> started = StartListeners(); !started) {
@@ -308,6 +234,12 @@
             {}});
     return;
   }
+  if (request.body_truncated) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "the route is newer than the request",
+            kNotReadyRetryAfter});
+    return;
+  }
   auto plan = planner_.Plan(*route);
   if (draining_ && !HasTimeToRun(final_answers_at_ - now,
                                  searches_.SlowLatency(plan->name))) {
@@ -456,9 +388,7 @@
       searches_.SetConnectionLimit(group.name, group.max_connections);
     }
   }
-  const ListenerLimits limits = ToListenerLimits(routing.limits);
-  front_->SetLimits(limits);
-  relay_listener_->SetLimits(RelayListenerLimits(limits));
+  SetListenerLimits(routing.limits);
   planner_.SetRouting(routing);
 }
 
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -151,6 +151,8 @@
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
   gauges.connections = front_->connections();
+  gauges.client_held_bytes = clients_.budget().held_bytes();
+  gauges.clients_turned_away = clients_.turned_away();
   gauges.peer_traffic = peers_.traffic();
   gauges.target_traffic = gateway_.traffic();
   return metrics_.Serialize(gauges);
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -14,8 +14,11 @@
 constexpr std::size_t kMaxHosts = 10000;
 constexpr std::uint64_t kMaxShutdownHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
+constexpr std::uint64_t kBytesPerKilobyte = 1024;
+constexpr std::uint64_t kMaxClientMemoryKb = std::uint64_t{64} * 1024 * 1024;
+constexpr std::uint64_t kMaxClientConnections = 1'000'000;
 
-constexpr std::array<std::string_view, 21> kSettingNames = {
+constexpr std::array<std::string_view, 24> kSettingNames = {
     "host",
     "zone",
     "http",
@@ -36,6 +39,9 @@
     "shutdown_limit_ms",
     "answer_margin_ms",
     "tolerated_losses",
+    "client_memory_kb",
+    "client_connections",
+    "client_stall_ms",
     "policy"};
 
 Address ReadAddress(JsonReader& reader, const char* name) {
@@ -172,6 +178,13 @@
       ReadMilliseconds(reader, "shutdown_limit_ms", settings.shutdown_limit_);
   settings.answer_margin_ =
       ReadMilliseconds(reader, "answer_margin_ms", settings.answer_margin_);
+  settings.client_memory_bytes_ =
+      kBytesPerKilobyte *
+      reader.UnsignedOr("client_memory_kb", 0, 0, kMaxClientMemoryKb);
+  settings.client_connections_ =
+      reader.UnsignedOr("client_connections", 0, 0, kMaxClientConnections);
+  settings.client_stall_ =
+      ReadMilliseconds(reader, "client_stall_ms", settings.client_stall_);
   settings.policy_ = ReadPolicy(reader, *document);
   if (document->is_object()) {
     for (const auto& [name, value] : document->items()) {
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <http_parser.h>
 #include <netinet/in.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -16,6 +15,10 @@
 
 #include <glog/logging.h>
 
+#include "http_listener_state.h"
+#include "http_listener_timeouts.h"
+#include "http_response_text.h"
+
 namespace snipeworks {
 
 namespace {
@@ -23,89 +26,60 @@
 using std::chrono::milliseconds;
 
 constexpr int kBacklog = 1024;
-constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
+// A connection reads at most this much in one iteration of the loop, so that
+// clients with much to parse do not hold up the others.
+constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
 // Bytes buffered behind a request in progress before reading stops.
-constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
 constexpr Duration kTimeoutCheckInterval = milliseconds(250);
-// Time for a caller to read the last response before the connection is closed,
-// which resets it if unread bytes remain.
-constexpr Duration kLingerTimeout = milliseconds(1000);
-// Callers send their first request as soon as they have connected; this covers
-// its transit, including the loss of one packet.
-constexpr Duration kFirstRequestWait = milliseconds(500);
-// Of a request; a header takes more memory than its text.
-constexpr std::size_t kMaxHeaders = 256;
-constexpr std::size_t kHeaderOverheadBytes = sizeof(HttpHeader);
-// Connections that hold less are not closed for the memory that others use.
-constexpr std::size_t kLargeConnectionBytes = std::size_t{64} * 1024;
 constexpr const char* kMemoryRetryAfterSeconds = "1";
 constexpr int kBadRequestStatus = 400;
 constexpr int kUnavailableStatus = 503;
 constexpr int kTimeoutStatus = 408;
-constexpr int kTooLargeStatus = 413;
 constexpr int kHeadersTooLargeStatus = 431;
 
-const char* ReasonPhrase(int status) {
-  switch (status) {
-#define SNIPEWORKS_REASON(number, name, text) \
-  case number:                                \
-    return #text;
-    HTTP_STATUS_MAP(SNIPEWORKS_REASON)
-#undef SNIPEWORKS_REASON
-    default:
-      return "Unknown";
-  }
-}
-
-bool HasNoBody(int status) {
-  return status < 200 || status == 204 || status == 304;
-}
-
 struct QueuedWrite {
   uv_write_t request;
   std::string bytes;
 };
 
+ConnectionPhase PhaseOf(const ListenerConnection& connection) {
+  if (connection.lingering) {
+    return connection.HasUnsentBytes() ? ConnectionPhase::kLastBytes
+                                       : ConnectionPhase::kLingering;
+  }
+  if (connection.exchange != 0) {
+    return ConnectionPhase::kRunning;
+  }
+  if (connection.in_request) {
+    return connection.in_body ? ConnectionPhase::kBody : ConnectionPhase::kHead;
+  }
+  return connection.unsent_bytes > 0 ? ConnectionPhase::kSending
+                                     : ConnectionPhase::kIdle;
+}
+
 }  // namespace
 
-class HttpListener::Impl {
+class HttpListener::Impl : public ClientListener {
  public:
-  Impl(EventLoop& loop, const ListenerLimits& limits, Handlers handlers)
+  Impl(EventLoop& loop,
+       const ListenerLimits& limits,
+       Handlers handlers,
+       ClientLimiter* clients)
       : loop_(loop),
         limits_(limits),
         handlers_(std::move(handlers)),
+        callbacks_(ListenerParserCallbacks()),
+        own_clients_(clients == nullptr
+                         ? std::make_unique<ClientLimiter>(loop, ClientLimits{})
+                         : nullptr),
+        clients_(clients == nullptr ? *own_clients_ : *clients),
         timeout_timer_(loop, [this] { CheckTimeouts(); }) {
-    http_parser_settings_init(&callbacks_);
-    callbacks_.on_message_begin = [](http_parser* parser) {
-      ConnectionOf(parser).OnBegin();
-      return 0;
-    };
-    callbacks_.on_url = [](http_parser* parser, const char* at,
-                           std::size_t size) {
-      return ConnectionOf(parser).OnUrl({at, size});
-    };
-    callbacks_.on_header_field = [](http_parser* parser, const char* at,
-                                    std::size_t size) {
-      return ConnectionOf(parser).OnHeaderName({at, size});
-    };
-    callbacks_.on_header_value = [](http_parser* parser, const char* at,
-                                    std::size_t size) {
-      return ConnectionOf(parser).OnHeaderValue({at, size});
-    };
-    callbacks_.on_headers_complete = [](http_parser* parser) {
-      return ConnectionOf(parser).OnHeadersComplete();
-    };
-    callbacks_.on_body = [](http_parser* parser, const char* at,
-                            std::size_t size) {
-      return ConnectionOf(parser).OnBody({at, size});
-    };
-    callbacks_.on_message_complete = [](http_parser* parser) {
-      ConnectionOf(parser).OnComplete();
-      return 0;
-    };
-  }
-
-  ~Impl() {
+    clients_.Add(*this);
+  }
+
+  ~Impl() override {
+    clients_.Remove(*this);
     StopListening();
     while (!connections_.empty()) {
       Connection* connection = connections_.begin()->second;
@@ -114,6 +88,32 @@
     }
   }
 
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  bool TurnAway(ClientId client) override {
+    auto found = connections_.find(client);
+    if (found == connections_.end()) {
+      return false;
+    }
+    if (found->second->in_request) {
+      RejectRequest(*found->second, kUnavailableStatus,
+                    "too many bytes of requests are held");
+    } else {
+      Close(*found->second);
+    }
+    return true;
+  }
+
+  bool Disconnect(ClientId client) override {
+    auto found = connections_.find(client);
+    if (found == connections_.end()) {
+      return false;
+    }
+    Close(*found->second);
+    return true;
+  }
+
   Result<void> Listen(const Address& address) {
     listener_ = new uv_tcp_t;
     uv_tcp_init(loop_.raw(), listener_);
@@ -150,6 +150,7 @@
     exchanges_.erase(found);
     connection.exchange = 0;
     Respond(connection, response);
+    clients_.Enforce();
   }
 
   void SetLimits(const ListenerLimits& limits) { limits_ = limits; }
@@ -183,151 +184,10 @@
   std::size_t max_connections_seen() const { return max_connections_seen_; }
 
  private:
-  // One caller's connection. `parser` holds the state of the request being
-  // read; `pipelined` holds the bytes that follow it.
-  struct Connection {
-    uv_tcp_t handle;
-    http_parser parser;
-    Impl* owner = nullptr;
-    std::uint64_t id = 0;
-    ExchangeId exchange = 0;
-    HttpRequest request;
-    std::string pipelined;
-    std::size_t header_bytes = 0;
-    std::size_t held_bytes = 0;    // Of the request and what follows it.
-    std::size_t unsent_bytes = 0;  // Of responses.
-    bool value_seen = false;
-    bool reading = false;
-    bool in_request = false;
-    bool in_body = false;
-    bool complete = false;
-    bool keep_alive = true;
-    bool is_head = false;
-    bool closing = false;
-    bool lingering = false;
-    bool received_any = false;  // Any byte has been read.
-    int reject_status = 0;      // Status for a request that is not read.
-    const char* reject_reason = nullptr;
-    Instant since{};  // Start of the request, idle or lingering time.
-
-    bool IsIdle() const { return exchange == 0 && !in_request && !lingering; }
-
-    // True if the first request may be in transit.
-    bool AwaitsFirstRequest(Instant now) const {
-      return !received_any && !lingering && now - since < kFirstRequestWait;
-    }
-
-    bool HasUnsentBytes() const {
-      return uv_stream_get_write_queue_size(
-                 reinterpret_cast<const uv_stream_t*>(&handle)) > 0;
-    }
-
-    bool HasUnreadBytes() const {
-      uv_os_fd_t socket = -1;
-      int bytes = 0;
-      return uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle),
-                       &socket) == 0 &&
-             ioctl(socket, FIONREAD, &bytes) == 0 && bytes > 0;
-    }
-
-    void Hold(std::size_t bytes) {
-      held_bytes += bytes;
-      owner->buffered_bytes_ += bytes;
-    }
-
-    void Release(std::size_t bytes) {
-      held_bytes -= bytes;
-      owner->buffered_bytes_ -= bytes;
-    }
-
-    void OnBegin() {
-      request = HttpRequest{};
-      header_bytes = 0;
-      value_seen = false;
-      complete = false;
-      in_request = true;
-      in_body = false;
-      since = MonotonicNow();
-    }
-
-    int CountHeaderBytes(std::size_t bytes) {
-      header_bytes += bytes;
-      Hold(bytes);
-      if (header_bytes <= owner->limits_.max_header_bytes &&
-          request.headers.size() <= kMaxHeaders) {
-        return 0;
-      }
-      reject_status = kHeadersTooLargeStatus;
-      return 1;
-    }
-
-    int OnUrl(std::string_view piece) {
-      request.target.append(piece);
-      return CountHeaderBytes(piece.size());
-    }
-
-    int OnHeaderName(std::string_view piece) {
-      if (request.headers.empty() || value_seen) {
-        request.headers.emplace_back();
-        Hold(kHeaderOverheadBytes);
-        value_seen = false;
-      }
-      request.headers.back().name.append(piece);
-      return CountHeaderBytes(piece.size());
-    }
+  using Connection = ListenerConnection;
 
-    int OnHeaderValue(std::string_view piece) {
-      if (!request.headers.empty()) {
-        request.headers.back().value.append(piece);
-      }
-      value_seen = true;
-      return CountHeaderBytes(piece.size());
-    }
-
-    int OnHeadersComplete() {
-      in_body = true;
-      // Another server may trim such a name, and read another length from it.
-      if (!std::ranges::all_of(request.headers, IsHeaderName,
-                               &HttpHeader::name)) {
-        reject_status = kBadRequestStatus;
-        reject_reason = "a header name is malformed";
-        return -1;
-      }
-      const bool has_length =
-          parser.content_length != 0 &&
-          parser.content_length != static_cast<std::uint64_t>(-1);
-      if (has_length && parser.content_length > owner->limits_.max_body_bytes) {
-        reject_status = kTooLargeStatus;
-        return -1;
-      }
-      const bool has_body = has_length || ((parser.flags & F_CHUNKED) != 0);
-      if (has_body &&
-          HeaderListContains(request.Header("Expect"), "100-continue")) {
-        owner->Write(*this, "HTTP/1.1 100 Continue\r\n\r\n");
-      }
-      return 0;
-    }
-
-    int OnBody(std::string_view piece) {
-      if (request.body.size() + piece.size() > owner->limits_.max_body_bytes) {
-        reject_status = kTooLargeStatus;
-        return 1;
-      }
-      const std::size_t before = request.body.capacity();
-      request.body.append(piece);
-      Hold(request.body.capacity() - before);
-      return 0;
-    }
-
-    void OnComplete() {
-      complete = true;
-      keep_alive = http_should_keep_alive(&parser) != 0;
-      http_parser_pause(&parser, 1);
-    }
-  };
-
-  static Connection& ConnectionOf(http_parser* parser) {
-    return *static_cast<Connection*>(parser->data);
+  static Impl& OwnerOf(const Connection& connection) {
+    return *static_cast<Impl*>(connection.owner);
   }
 
   void StopListening() {
@@ -357,8 +217,9 @@
                });
       return;
     }
-    if (limits_.max_connections != 0 &&
-        connections_.size() >= limits_.max_connections) {
+    if ((limits_.max_connections != 0 &&
+         connections_.size() >= limits_.max_connections) ||
+        !clients_.MakeRoom()) {
       uv_tcp_close_reset(&connection->handle, [](uv_handle_t* handle) {
         delete static_cast<Connection*>(handle->data);
       });
@@ -367,9 +228,12 @@
     uv_tcp_nodelay(&connection->handle, 1);
     http_parser_init(&connection->parser, HTTP_REQUEST);
     connection->parser.data = connection;
-    connection->id = next_connection_++;
+    connection->limits = &limits_;
+    connection->handlers = &handlers_;
     connection->since = MonotonicNow();
-    connections_[connection->id] = connection;
+    connection->budget = &clients_.budget();
+    connection->account = &connection->budget->Open(connection->since);
+    connections_[connection->id()] = connection;
     max_connections_seen_ =
         std::max(max_connections_seen_, connections_.size());
     StartReading(*connection);
@@ -420,17 +284,24 @@
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&connection.handle),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-          Impl& owner = *static_cast<Connection*>(handle->data)->owner;
+          auto& connection = *static_cast<Connection*>(handle->data);
+          if (std::exchange(connection.pauses, false)) {
+            // Ends the reading of this iteration.
+            *buffer = uv_buf_init(nullptr, 0);
+            return;
+          }
+          Impl& owner = OwnerOf(connection);
           *buffer = uv_buf_init(owner.buffer_.data(),
                                 static_cast<unsigned>(owner.buffer_.size()));
         },
         [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
           auto& connection = *static_cast<Connection*>(stream->data);
           if (size > 0) {
-            connection.owner->OnData(
-                connection, {buffer->base, static_cast<std::size_t>(size)});
-          } else if (size < 0) {
-            connection.owner->Close(connection);
+            const auto bytes = static_cast<std::size_t>(size);
+            connection.pauses = bytes == kReadBufferBytes;
+            OwnerOf(connection).OnData(connection, {buffer->base, bytes});
+          } else if (size < 0 && size != UV_ENOBUFS) {
+            OwnerOf(connection).Close(connection);
           }
         });
   }
@@ -440,20 +311,17 @@
       return;
     }
     connection.received_any = true;
+    connection.budget->OnMoved(MonotonicNow(), *connection.account,
+                               bytes.size());
     if (connection.exchange == 0 && connection.pipelined.empty()) {
       Parse(connection, bytes);
     } else {
-      AppendPipelined(connection, bytes);
+      connection.AppendPipelined(bytes);
       if (connection.pipelined.size() > kMaxPipelinedBytes) {
         StopReading(connection);
       }
     }
-    KeepToMemoryLimit();
-  }
-
-  void AppendPipelined(Connection& connection, std::string_view bytes) {
-    connection.pipelined.append(bytes);
-    connection.Hold(bytes.size());
+    clients_.Enforce();
   }
 
   void ResumeReading(Connection& connection) {
@@ -468,42 +336,6 @@
     uv_read_stop(reinterpret_cast<uv_stream_t*>(&connection.handle));
   }
 
-  void KeepToMemoryLimit() {
-    while (buffered_bytes_ > limits_.max_buffered_bytes) {
-      Connection* request = Largest([](const Connection& connection) {
-        return connection.in_request ? connection.held_bytes : 0;
-      });
-      Connection* unread = Largest(
-          [](const Connection& connection) { return connection.unsent_bytes; });
-      if (request != nullptr) {
-        LOG_EVERY_T(WARNING, 1)
-            << "event=request_refused_for_memory held=" << request->held_bytes;
-        RejectRequest(*request, kUnavailableStatus,
-                      "too many bytes of requests are held");
-      } else if (unread != nullptr) {
-        LOG_EVERY_T(WARNING, 1)
-            << "event=caller_does_not_read unsent=" << unread->unsent_bytes;
-        Close(*unread);
-      } else {
-        return;
-      }
-    }
-  }
-
-  // The connection with the most bytes, or null if none has many.
-  template <typename BytesOf>
-  Connection* Largest(const BytesOf& bytes_of) const {
-    Connection* largest = nullptr;
-    std::size_t most = kLargeConnectionBytes;
-    for (const auto& [id, connection] : connections_) {
-      if (const std::size_t bytes = bytes_of(*connection); bytes >= most) {
-        largest = connection;
-        most = bytes;
-      }
-    }
-    return largest;
-  }
-
   // Parses up to the end of one request; the rest waits in `pipelined`.
   void Parse(Connection& connection, std::string_view bytes) {
     const std::size_t used = http_parser_execute(
@@ -520,12 +352,16 @@
       const bool switched = connection.parser.upgrade != 0;
       connection.keep_alive = connection.keep_alive && !switched;
       if (!switched) {
-        AppendPipelined(connection, bytes.substr(std::min(used, bytes.size())));
+        connection.AppendPipelined(bytes.substr(std::min(used, bytes.size())));
       }
       DispatchRequest(connection);
       return;
     }
     if (fault == HPE_OK) {
+      if (connection.awaits_continue && connection.body_bytes == 0) {
+        connection.awaits_continue = false;
+        Write(connection, "HTTP/1.1 100 Continue\r\n\r\n");
+      }
       return;
     }
     int status = connection.reject_status;
@@ -543,9 +379,7 @@
     connection.keep_alive = false;
     connection.in_request = false;
     connection.is_head = false;
-    connection.request.headers.clear();
-    // Frees the memory, as an assignment does not.
-    std::string().swap(connection.request.body);
+    connection.DropRequest();
     HttpResponse response;
     response.status = status;
     response.content_type = "text/plain";
@@ -560,54 +394,25 @@
     connection.is_head = connection.parser.method == HTTP_HEAD;
     HttpRequest request = std::move(connection.request);
     connection.request = HttpRequest{};
-    request.method =
-        http_method_str(static_cast<http_method>(connection.parser.method));
-    request.path = request.target.substr(0, request.target.find('?'));
-    request.connection_id = connection.id;
+    request.connection_id = connection.id();
     const ExchangeId id = next_exchange_++;
     connection.exchange = id;
     exchanges_[id] = &connection;
+    connection.UpdateActivity(MonotonicNow());
     handlers_.on_request(id, std::move(request));
   }
 
   void Respond(Connection& connection, const HttpResponse& response) {
     const bool close =
         response.close || close_after_responses_ || !connection.keep_alive;
-    std::string head;
-    head.reserve(256 + response.body.size());
-    head += "HTTP/1.1 ";
-    head += std::to_string(response.status);
-    head += ' ';
-    head += ReasonPhrase(response.status);
-    head += "\r\n";
-    if (!response.content_type.empty()) {
-      head += "Content-Type: " + response.content_type + "\r\n";
-    }
-    for (const HttpHeader& header : response.headers) {
-      head += header.name;
-      head += ": ";
-      head += header.value;
-      head += "\r\n";
-    }
-    if (!HasNoBody(response.status)) {
-      head += "Content-Length: ";
-      head += std::to_string(
-          response.declared_length.value_or(response.body.size()));
-      head += "\r\n";
-    }
-    if (close) {
-      head += "Connection: close\r\n";
-    }
-    head += "\r\n";
-    if (!connection.is_head && !HasNoBody(response.status)) {
-      head += response.body;
-    }
+    std::string text = ResponseText(response, close, connection.is_head);
     connection.since = MonotonicNow();
-    connection.Release(connection.held_bytes - connection.pipelined.size());
-    Write(connection, std::move(head));
+    connection.DropRequest();
+    Write(connection, std::move(text));
     if (connection.closing) {
       return;
     }
+    connection.UpdateActivity(connection.since);
     if (close) {
       Linger(connection);
     } else if (connection.unsent_bytes > 0) {
@@ -623,15 +428,20 @@
     if (!connection.pipelined.empty()) {
       // Posted to the loop, so that pipelined requests with synchronous
       // responses do not recurse.
-      loop_.Post([this, id = connection.id] { ParsePipelined(id); });
+      loop_.Post([this, id = connection.id()] { ParsePipelined(id); });
     }
   }
 
   void OnWritten(Connection& connection, std::size_t bytes) {
-    connection.unsent_bytes -= bytes;
-    buffered_bytes_ -= bytes;
-    const bool idle = connection.exchange == 0 && !connection.in_request;
-    if (connection.unsent_bytes == 0 && idle && !connection.lingering) {
+    connection.ReleaseUnsent(bytes);
+    const bool waits = connection.exchange == 0 && !connection.in_request;
+    if (connection.unsent_bytes > 0 || !waits) {
+      return;
+    }
+    const Instant now = MonotonicNow();
+    connection.UpdateActivity(now);
+    if (!connection.lingering) {
+      connection.since = now;
       ReadNextRequest(connection);
     }
   }
@@ -639,12 +449,12 @@
   void ParsePipelined(std::uint64_t id) {
     auto found = connections_.find(id);
     if (found == connections_.end() || found->second->exchange != 0 ||
-        found->second->lingering) {
+        found->second->pipelined.empty() || found->second->lingering ||
+        found->second->unsent_bytes > 0) {
       return;
     }
     Connection& connection = *found->second;
-    const std::string bytes = std::exchange(connection.pipelined, {});
-    connection.Release(bytes.size());
+    const std::string bytes = connection.TakePipelined();
     Parse(connection, bytes);
     ResumeReading(connection);
   }
@@ -668,11 +478,14 @@
     buffer = uv_buf_init(write->bytes.data() + done,
                          static_cast<unsigned>(write->bytes.size() - done));
     const int queued = uv_write(
-        &write->request, stream, &buffer, 1, [](uv_write_t* request, int) {
+        &write->request, stream, &buffer, 1,
+        [](uv_write_t* request, int error) {
           auto* written = static_cast<QueuedWrite*>(request->data);
           auto& writer = *static_cast<Connection*>(request->handle->data);
-          if (!writer.closing) {
-            writer.owner->OnWritten(writer, written->bytes.size());
+          if (!writer.closing && error != 0) {
+            OwnerOf(writer).Close(writer);
+          } else if (!writer.closing) {
+            OwnerOf(writer).OnWritten(writer, written->bytes.size());
           }
           delete written;
         });
@@ -681,8 +494,8 @@
       Close(connection);
       return;
     }
-    connection.unsent_bytes += write->bytes.size();
-    buffered_bytes_ += write->bytes.size();
+    connection.HoldUnsent(write->bytes.size());
+    connection.queued_bytes = connection.WriteQueueBytes();
   }
 
   // Sends queued bytes and the end of the stream, then waits for the caller to
@@ -690,8 +503,7 @@
   // response.
   void Linger(Connection& connection) {
     connection.lingering = true;
-    connection.Release(connection.pipelined.size());
-    connection.pipelined.clear();
+    connection.TakePipelined();
     StartReading(connection);
     auto* shutdown = new uv_shutdown_t;
     const int started = uv_shutdown(
@@ -712,8 +524,8 @@
     if (std::exchange(connection.closing, true)) {
       return;
     }
-    connections_.erase(connection.id);
-    buffered_bytes_ -= connection.held_bytes + connection.unsent_bytes;
+    connections_.erase(connection.id());
+    connection.budget->Close(*std::exchange(connection.account, nullptr));
     const ExchangeId exchange = std::exchange(connection.exchange, 0);
     uv_close(reinterpret_cast<uv_handle_t*>(&connection.handle),
              [](uv_handle_t* handle) {
@@ -730,18 +542,18 @@
     std::vector<Connection*> timed_out;
     std::vector<Connection*> expired;
     for (const auto& [id, connection] : connections_) {
-      const Duration age = now - connection->since;
-      const Duration linger_timeout = connection->HasUnsentBytes()
-                                          ? limits_.request_timeout
-                                          : kLingerTimeout;
-      if (connection->lingering
-              ? age > linger_timeout
-              : connection->IsIdle() && age > limits_.idle_timeout) {
-        expired.push_back(connection);
-      } else if (connection->in_request &&
-                 age > (connection->in_body ? limits_.request_timeout
-                                            : limits_.header_timeout)) {
-        timed_out.push_back(connection);
+      LookAtWriteQueue(*connection, now);
+      switch (TimeoutActionFor(PhaseOf(*connection), now - connection->since,
+                               now - connection->account->moved_at(),
+                               limits_)) {
+        case TimeoutAction::kNone:
+          break;
+        case TimeoutAction::kRefuse:
+          timed_out.push_back(connection);
+          break;
+        case TimeoutAction::kClose:
+          expired.push_back(connection);
+          break;
       }
     }
     for (Connection* connection : expired) {
@@ -756,16 +568,26 @@
     timeout_timer_.Set(kTimeoutCheckInterval);
   }
 
+  // Bytes that have left the queue since the last look were read by the client.
+  static void LookAtWriteQueue(Connection& connection, Instant now) {
+    const std::size_t bytes = connection.WriteQueueBytes();
+    if (bytes < connection.queued_bytes) {
+      connection.budget->OnMoved(now, *connection.account,
+                                 connection.queued_bytes - bytes);
+    }
+    connection.queued_bytes = bytes;
+  }
+
   EventLoop& loop_;
   ListenerLimits limits_;
   Handlers handlers_;
-  http_parser_settings callbacks_{};
+  http_parser_settings callbacks_;
+  std::unique_ptr<ClientLimiter> own_clients_;  // If none was given.
+  ClientLimiter& clients_;
   uv_tcp_t* listener_ = nullptr;
   std::unordered_map<std::uint64_t, Connection*> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;
   std::size_t max_connections_seen_ = 0;
-  std::size_t buffered_bytes_ = 0;
-  std::uint64_t next_connection_ = 1;
   ExchangeId next_exchange_ = 1;
   bool close_after_responses_ = false;
   bool stopping_ = false;
@@ -777,8 +599,10 @@
     EventLoop& loop,
     const Address& address,
     const ListenerLimits& limits,
-    Handlers handlers) {
-  auto impl = std::make_unique<Impl>(loop, limits, std::move(handlers));
+    Handlers handlers,
+    ClientLimiter* clients) {
+  auto impl =
+      std::make_unique<Impl>(loop, limits, std::move(handlers), clients);
   if (auto listening = impl->Listen(address); !listening) {
     return tl::unexpected(listening.error());
   }
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -35,6 +36,7 @@
     EventLoop loop;
     post_task = [&loop](EventLoop::Task task) { loop.Post(std::move(task)); };
     const std::uint16_t port = FreePort();
+    ClientLimiter clients(loop, client_limits);
     auto started = HttpListener::Start(
         loop, {"127.0.0.1", port}, limits,
         {[&](ExchangeId id, HttpRequest request) {
@@ -46,7 +48,9 @@
            }
            listener->SendResponse(id, response);
          },
-         [&](ExchangeId id) { disconnected.push_back(id); }});
+         [&](ExchangeId id) { disconnected.push_back(id); },
+         [&](const HttpRequest&) { return needed_body_bytes; }},
+        &clients);
     ASSERT_TRUE(started) << started.error().detail;
     listener = std::move(*started);
     std::thread thread([&] {
@@ -67,6 +71,8 @@
   std::unique_ptr<HttpListener> listener;
   HttpResponse response{200, "text/plain", "hello"};
   bool hold_responses = false;
+  ClientLimits client_limits;
+  std::size_t needed_body_bytes = std::numeric_limits<std::size_t>::max();
   std::vector<ExchangeId> held_exchanges;
   std::vector<ExchangeId> disconnected;
   std::vector<std::string> targets;
@@ -177,7 +183,7 @@
   RunWithCaller({}, [](std::uint16_t port) {
     const Socket caller(port);
     std::string head = "GET / HTTP/1.1\r\n";
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 0; i < 5000; ++i) {
       head += "a:\r\n";
     }
     caller.Send(head);
@@ -185,6 +191,87 @@
   });
 }
 
+// A head of legal size may have any number of headers.
+TEST_F(Listeners, TakeALegalHeadOfManySmallHeaders) {
+  response.body = "ok";
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    std::string head = "GET / HTTP/1.1\r\n";
+    while (head.size() < std::size_t{16} * 1024 - 8) {
+      head += "a:\r\n";
+    }
+    caller.Send(head + "\r\n");
+    EXPECT_TRUE(caller.ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+  });
+}
+
+// Bodies for paths without a route took the memory of a host.
+TEST_F(Listeners, KeepNoMoreOfABodyThanIsNeeded) {
+  needed_body_bytes = 3;
+  response.body = "ok";
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    for (int i = 0; i < 2; ++i) {
+      caller.Send(
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+          std::string(100'000, 'b'));
+      EXPECT_TRUE(caller.ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+    }
+  });
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_EQ(requests[1].body, "bbb");
+  EXPECT_TRUE(requests[1].body_truncated);
+}
+
+TEST_F(Listeners, ReadABodyInChunksOfOneByte) {
+  response.body = "ok";
+  constexpr std::size_t kBytes = 100'000;
+  RunWithCaller({}, [](std::uint16_t port) {
+    std::string chunks;
+    for (std::size_t i = 0; i < kBytes; ++i) {
+      chunks += "1\r\nx\r\n";
+    }
+    const Socket caller(port);
+    caller.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                chunks + "0\r\n\r\n");
+    EXPECT_TRUE(caller.ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+  });
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_EQ(requests[0].body, std::string(kBytes, 'x'));
+}
+
+TEST_F(Listeners, RefuseABodyThatStopsHalfWay) {
+  ListenerLimits limits;
+  limits.stall_timeout = milliseconds(100);
+  RunWithCaller(limits, [](std::uint16_t port) {
+    const Socket caller(port);
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+    EXPECT_TRUE(caller.ReadAll().starts_with("HTTP/1.1 408 "));
+  });
+  EXPECT_TRUE(requests.empty());
+}
+
+// An idle connection makes way for a new one.
+TEST_F(Listeners, DisconnectTheClientLongestWithoutProgress) {
+  client_limits.max_connections = 2;
+  response.body = "ok";
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket first(port);
+    std::this_thread::sleep_for(milliseconds(20));
+    const Socket second(port);
+    std::this_thread::sleep_for(milliseconds(20));
+    const Socket third(port);
+    std::this_thread::sleep_for(milliseconds(20));
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    first.Send(request);
+    EXPECT_EQ(first.ReadUntil("ok"), "");
+    for (const Socket* caller : {&second, &third}) {
+      caller->Send(request);
+      EXPECT_TRUE(caller->ReadUntil("ok").starts_with("HTTP/1.1 200 "));
+    }
+  });
+}
+
 // A caller that sends requests and reads no responses filled the memory.
 TEST_F(Listeners, DoNotReadFromCallersThatDoNotReadTheirResponses) {
   response.body = std::string(1000, 'x');
@@ -233,7 +320,7 @@
 
 TEST_F(Listeners, RefuseTheLargestRequestBeyondTheirMemoryLimit) {
   ListenerLimits limits;
-  limits.max_buffered_bytes = std::size_t{1024} * 1024;
+  client_limits.max_bytes = std::size_t{1280} * 1024;
   limits.max_body_bytes = std::size_t{1024} * 1024;
   response.body = "ok";
   RunWithCaller(limits, [](std::uint16_t port) {
--- a/src/snipe-entry/entry_api.cpp
+++ b/src/snipe-entry/entry_api.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+// Of the 160 MB that the smallest hosts have.
+constexpr std::size_t kClientMemoryBytes = std::size_t{48} * 1024 * 1024;
 constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
 // Far more than the callers and load balancers of one host keep open.
@@ -84,8 +86,14 @@
 
 }  // namespace
 
+EntryApi::EntryApi(EventLoop& loop, EntryHost& host)
+    : loop_(loop),
+      host_(host),
+      clients_(loop, ClientLimitsFor(host.settings(), kClientMemoryBytes)) {}
+
 Result<void> EntryApi::Start() {
   ListenerLimits limits;
+  limits.stall_timeout = host_.settings().client_stall();
   limits.max_body_bytes = kMaxBodyBytes;
   limits.idle_timeout = kIdleTimeout;
   limits.max_connections = kMaxConnections;
@@ -94,7 +102,13 @@
       {[this](ExchangeId exchange, const HttpRequest& request) {
          OnRequest(exchange, request);
        },
-       [](ExchangeId) {}});
+       [](ExchangeId) {},
+       [](const HttpRequest& head) {
+         const bool known =
+             head.path == kRelayPath || head.path.starts_with("/v1/");
+         return head.method == "POST" && known ? kMaxBodyBytes : 0;
+       }},
+      &clients_);
   if (!listener) {
     return tl::unexpected(listener.error());
   }
@@ -382,8 +396,10 @@
 }
 
 HttpResponse EntryApi::OnMetrics() {
-  HttpResponse response =
-      TextResponse(200, host_.metrics().Serialize(host_.Gauges()));
+  EntryGauges gauges = host_.Gauges();
+  gauges.client_held_bytes = clients_.budget().held_bytes();
+  gauges.clients_turned_away = clients_.turned_away();
+  HttpResponse response = TextResponse(200, host_.metrics().Serialize(gauges));
   response.content_type = "text/plain; version=0.0.4";
   return response;
 }
--- a/src/snipe-entry/entry_api.h
+++ b/src/snipe-entry/entry_api.h
@@ -17,7 +17,7 @@
 /// operators.
 class EntryApi {
  public:
-  EntryApi(EventLoop& loop, EntryHost& host) : loop_(loop), host_(host) {}
+  EntryApi(EventLoop& loop, EntryHost& host);
 
   /// Starts listening. Fails with kInternal.
   Result<void> Start();
@@ -68,6 +68,7 @@
 
   EventLoop& loop_;
   EntryHost& host_;
+  ClientLimiter clients_;
   std::unique_ptr<HttpListener> listener_;
 };
 
