Close connections between hosts that make no call

PeerServer closes a connection that makes no call within 5 s, and those without a call take an eighth of the descriptors at most; hosts make a call as soon as they have connected. The case has a form for this port.

Payloads at this port are still limited for each stream only, which docs/design/clients.md says.

--- a/src/libsnipeworks/peer_transport.cpp
+++ b/src/libsnipeworks/peer_transport.cpp
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "http2_connection.h"
+#include "snipeworks/client_limiter.h"
 #include "snipeworks/json_reader.h"
 
 namespace snipeworks {
@@ -19,6 +20,12 @@
 constexpr int kOkStatus = 200;
 constexpr int kRejectedStatus = 500;
 constexpr int kBacklog = 128;
+// Hosts make a call as soon as they have connected. Other clients may not keep
+// descriptors without one.
+constexpr Duration kFirstCallTimeout = std::chrono::seconds(5);
+constexpr Duration kFirstCallCheckInterval = std::chrono::seconds(1);
+// The part of the descriptors that connections without a call may take.
+constexpr std::size_t kUnusedConnectionsDivisor = 8;
 // The first SYN to a host that is down is lost, and TCP retransmits it only
 // after a second. Calls that wait this long for a connection get a new one, so
 // that a host that has come up meanwhile is reached soon. The delay doubles
@@ -31,13 +38,18 @@
 class PeerServer::Impl {
  public:
   Impl(EventLoop& loop, Handler handler)
-      : loop_(loop), handler_(std::move(handler)) {}
+      : loop_(loop),
+        handler_(std::move(handler)),
+        max_unused_(DescriptorLimit() / kUnusedConnectionsDivisor),
+        timer_(loop, [this] { CloseUnused(); }) {
+    timer_.Set(kFirstCallCheckInterval);
+  }
 
   // The listener is a libuv handle, which must outlive its owner until libuv
   // has closed it.
   ~Impl() {
     *alive_ = false;
-    for (const auto& [connection, id] : std::map(connections_)) {
+    for (const auto& [connection, peer] : std::map(connections_)) {
       connection->Close();
     }
     if (listener_ != nullptr) {
@@ -72,6 +84,33 @@
   const PeerTraffic& traffic() const { return traffic_; }
 
  private:
+  struct Peer {
+    std::uint64_t id = 0;
+    Instant opened_at{};
+    bool called = false;
+  };
+
+  void CloseUnused() {
+    const Instant now = MonotonicNow();
+    std::vector<std::pair<Instant, Http2Connection*>> unused;
+    for (const auto& [connection, peer] : connections_) {
+      if (!peer.called) {
+        unused.emplace_back(peer.opened_at, connection);
+      }
+    }
+    std::ranges::sort(unused);
+    const std::size_t excess = max_unused_ > 0 && unused.size() > max_unused_
+                                   ? unused.size() - max_unused_
+                                   : 0;
+    for (std::size_t i = 0; i < unused.size(); ++i) {
+      const auto& [opened_at, connection] = unused[i];
+      if (i < excess || now - opened_at > kFirstCallTimeout) {
+        connection->Close();
+      }
+    }
+    timer_.Set(kFirstCallCheckInterval);
+  }
+
   void AcceptConnection(uv_stream_t* listener) {
     // The callbacks need the connection's address, which Create returns only
     // after it has taken them.
@@ -89,10 +128,14 @@
     };
     *self = Http2Connection::Create(loop_.raw(), Http2Connection::Role::kServer,
                                     std::move(events), traffic_);
-    connections_[*self] = next_connection_++;
+    connections_[*self] = {next_connection_++, MonotonicNow(), false};
     if (!(*self)->Accept(listener)) {
       (*self)->Close();
     }
+    ++accepted_;
+    if (max_unused_ > 0 && accepted_ % max_unused_ == 0) {
+      CloseUnused();
+    }
   }
 
   void OnCall(Http2Connection* connection,
@@ -100,14 +143,16 @@
               const Http2Message& message) {
     ++traffic_.calls_received;
     // A later connection may have the same address in memory.
-    const std::uint64_t id = connections_.at(connection);
+    Peer& peer = connections_.at(connection);
+    peer.called = true;
+    const std::uint64_t id = peer.id;
     handler_(message.path, message.payload,
              [this, connection, id, stream, alive = alive_](PeerResult result) {
                if (!*alive) {
                  return;
                }
                auto found = connections_.find(connection);
-               if (found == connections_.end() || found->second != id) {
+               if (found == connections_.end() || found->second.id != id) {
                  return;
                }
                if (result) {
@@ -122,10 +167,13 @@
   EventLoop& loop_;
   Handler handler_;
   uv_tcp_t* listener_ = nullptr;
-  std::map<Http2Connection*, std::uint64_t> connections_;
+  std::size_t max_unused_;
+  std::uint64_t accepted_ = 0;
+  std::map<Http2Connection*, Peer> connections_;
   std::uint64_t next_connection_ = 1;
   PeerTraffic traffic_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  LoopTimer timer_;
 };
 
 PeerServer::PeerServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/testsuite/misbehaving_clients_descriptors/run.py
+++ b/testsuite/misbehaving_clients_descriptors/run.py
@@ -16,8 +16,9 @@
         for place, port in (("callers", 8000), ("readiness", 8001), ("metrics", 9000)):
             checks.entry_host(f"{form} at {place}", lambda: [
                 Crowd(checks.entry, port).send(CROWD, pieces)], DESCRIPTORS)
-        checks.control_host(f"{form} at a control host", lambda: [
-            Crowd(checks.control, 8000).send(CROWD, pieces)], DESCRIPTORS)
+        for place, port in (("a control host", 8000), ("a control host's peer port", 7000)):
+            checks.control_host(f"{form} at {place}", lambda: [
+                Crowd(checks.control, port).send(CROWD, pieces)], DESCRIPTORS)
     checks.finish()
 
 
