Split the writer out of http_listener.cpp

WriteOrQueue sends and queues responses; the phase of a connection and the look at its write queue are with its state. No change of behaviour.

--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -17,6 +17,7 @@
 
 #include "http_listener_state.h"
 #include "http_listener_timeouts.h"
+#include "http_listener_writer.h"
 #include "http_response_text.h"
 
 namespace snipeworks {
@@ -38,26 +39,6 @@
 constexpr int kTimeoutStatus = 408;
 constexpr int kHeadersTooLargeStatus = 431;
 
-struct QueuedWrite {
-  uv_write_t request;
-  std::string bytes;
-};
-
-ConnectionPhase PhaseOf(const ListenerConnection& connection) {
-  if (connection.lingering) {
-    return connection.HasUnsentBytes() ? ConnectionPhase::kLastBytes
-                                       : ConnectionPhase::kLingering;
-  }
-  if (connection.exchange != 0) {
-    return ConnectionPhase::kRunning;
-  }
-  if (connection.in_request) {
-    return connection.in_body ? ConnectionPhase::kBody : ConnectionPhase::kHead;
-  }
-  return connection.unsent_bytes > 0 ? ConnectionPhase::kSending
-                                     : ConnectionPhase::kIdle;
-}
-
 }  // namespace
 
 class HttpListener::Impl : public ClientListener {
@@ -460,42 +441,18 @@
   }
 
   void Write(Connection& connection, std::string bytes) {
-    auto* stream = reinterpret_cast<uv_stream_t*>(&connection.handle);
-    uv_buf_t buffer =
-        uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
-    const int written = uv_try_write(stream, &buffer, 1);
-    if (written == static_cast<int>(bytes.size())) {
-      return;
-    }
-    if (written < 0 && written != UV_EAGAIN) {
+    const bool sent =
+        WriteOrQueue(connection, std::move(bytes),
+                     [](Connection& writer, std::size_t written, bool failed) {
+                       if (failed) {
+                         OwnerOf(writer).Close(writer);
+                       } else {
+                         OwnerOf(writer).OnWritten(writer, written);
+                       }
+                     });
+    if (!sent) {
       Close(connection);
-      return;
     }
-    auto* write = new QueuedWrite{{}, std::move(bytes)};
-    write->request.data = write;
-    const std::size_t done =
-        written > 0 ? static_cast<std::size_t>(written) : 0;
-    buffer = uv_buf_init(write->bytes.data() + done,
-                         static_cast<unsigned>(write->bytes.size() - done));
-    const int queued = uv_write(
-        &write->request, stream, &buffer, 1,
-        [](uv_write_t* request, int error) {
-          auto* written = static_cast<QueuedWrite*>(request->data);
-          auto& writer = *static_cast<Connection*>(request->handle->data);
-          if (!writer.closing && error != 0) {
-            OwnerOf(writer).Close(writer);
-          } else if (!writer.closing) {
-            OwnerOf(writer).OnWritten(writer, written->bytes.size());
-          }
-          delete written;
-        });
-    if (queued != 0) {
-      delete write;
-      Close(connection);
-      return;
-    }
-    connection.HoldUnsent(write->bytes.size());
-    connection.queued_bytes = connection.WriteQueueBytes();
   }
 
   // Sends queued bytes and the end of the stream, then waits for the caller to
@@ -542,8 +499,8 @@
     std::vector<Connection*> timed_out;
     std::vector<Connection*> expired;
     for (const auto& [id, connection] : connections_) {
-      LookAtWriteQueue(*connection, now);
-      switch (TimeoutActionFor(PhaseOf(*connection), now - connection->since,
+      connection->LookAtWriteQueue(now);
+      switch (TimeoutActionFor(connection->Phase(), now - connection->since,
                                now - connection->account->moved_at(),
                                limits_)) {
         case TimeoutAction::kNone:
@@ -568,16 +525,6 @@
     timeout_timer_.Set(kTimeoutCheckInterval);
   }
 
-  // Bytes that have left the queue since the last look were read by the client.
-  static void LookAtWriteQueue(Connection& connection, Instant now) {
-    const std::size_t bytes = connection.WriteQueueBytes();
-    if (bytes < connection.queued_bytes) {
-      connection.budget->OnMoved(now, *connection.account,
-                                 connection.queued_bytes - bytes);
-    }
-    connection.queued_bytes = bytes;
-  }
-
   EventLoop& loop_;
   ListenerLimits limits_;
   Handlers handlers_;
--- a/src/libsnipeworks/http_listener_state.cpp
+++ b/src/libsnipeworks/http_listener_state.cpp
@@ -207,6 +207,28 @@
   budget->SetActivity(now, *account, activity);
 }
 
+void ListenerConnection::LookAtWriteQueue(Instant now) {
+  const std::size_t bytes = WriteQueueBytes();
+  if (bytes < queued_bytes) {
+    budget->OnMoved(now, *account, queued_bytes - bytes);
+  }
+  queued_bytes = bytes;
+}
+
+ConnectionPhase ListenerConnection::Phase() const {
+  if (lingering) {
+    return HasUnsentBytes() ? ConnectionPhase::kLastBytes
+                            : ConnectionPhase::kLingering;
+  }
+  if (exchange != 0) {
+    return ConnectionPhase::kRunning;
+  }
+  if (in_request) {
+    return in_body ? ConnectionPhase::kBody : ConnectionPhase::kHead;
+  }
+  return unsent_bytes > 0 ? ConnectionPhase::kSending : ConnectionPhase::kIdle;
+}
+
 http_parser_settings ListenerParserCallbacks() {
   http_parser_settings callbacks;
   http_parser_settings_init(&callbacks);
--- a/src/libsnipeworks/http_listener_state.h
+++ b/src/libsnipeworks/http_listener_state.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "http_listener_timeouts.h"
 #include "snipeworks/client_memory_budget.h"
 #include "snipeworks/http_listener.h"
 
@@ -64,6 +65,10 @@
   std::string TakePipelined();
   void HoldUnsent(std::size_t bytes);
   void ReleaseUnsent(std::size_t bytes);
+  /// Takes bytes that have left the write queue since the last look as read by
+  /// the client.
+  void LookAtWriteQueue(Instant now);
+  ConnectionPhase Phase() const;
   /// Tells the budget what the client is in the middle of.
   void UpdateActivity(Instant now) const;
 };
