--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "snipeworks/json_reader.h"
+
 namespace snipeworks {
 
 namespace {
@@ -17,11 +19,9 @@
 
 // Below 2^53: a double represents every integer up to there.
 constexpr double kMaxExactInteger = 9.0e15;
+constexpr char kFaultsPath[] = "/v1/faults";
 // A report has a dozen short members.
 constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
-// A parsed value takes up to a hundred bytes, many times its text.
-constexpr std::size_t kMaxValues = 500'000;
-constexpr std::size_t kMaxNesting = 32;
 constexpr double kMillisPerSecond = 1000.0;
 // Keeps the time in milliseconds an exact integer.
 constexpr double kMaxColdSeconds = kMaxExactInteger / kMillisPerSecond;
@@ -175,31 +175,8 @@
   std::string error_;
 };
 
-// Bounds the memory that the parser needs for `text`. Braces, brackets and
-// commas in strings count as well.
-Result<void> CheckExtent(std::string_view text) {
-  std::size_t values = 1;
-  std::size_t depth = 0;
-  for (const char c : text) {
-    if (c == '[' || c == '{') {
-      ++values;
-      ++depth;
-    } else if (c == ']' || c == '}') {
-      depth -= depth > 0 ? 1 : 0;
-    } else if (c == ',') {
-      ++values;
-    }
-    if (depth > kMaxNesting || values > kMaxValues) {
-      return Fail(ErrorKind::kBadRequest, depth > kMaxNesting
-                                              ? "the body is nested too deeply"
-                                              : "the body has too many values");
-    }
-  }
-  return {};
-}
-
 Result<json> ParseObject(std::string_view text) {
-  if (auto bounded = CheckExtent(text); !bounded) {
+  if (auto bounded = CheckJsonExtent(text); !bounded) {
     return tl::unexpected(bounded.error());
   }
   json document = json::parse(text, nullptr, false);
@@ -444,6 +421,22 @@
   return announcement;
 }
 
+std::size_t NeededBodyBytes(const HttpRequest& head,
+                            const ControlNames& names,
+                            bool allow_faults) {
+  if (head.path == names.replace_path) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const bool reports =
+      !TargetInPath(head.path, names.report_prefix, names.report_suffix)
+           .empty() ||
+      !TargetInPath(head.path, names.report_prefix, names.leave_suffix)
+           .empty() ||
+      (allow_faults && head.path == kFaultsPath);
+  // One byte more shows that the body is too large.
+  return head.method == "POST" && reports ? kMaxReportBytes + 1 : 0;
+}
+
 Result<ControlCall> DecodeControlCall(const HttpRequest& request,
                                       const ControlNames& names) {
   const bool post = request.method == "POST";
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -26,7 +26,9 @@
 // Time before the shutdown limit at which open requests are answered with an
 // error, so that these answers are still sent.
 constexpr Duration kFinalAnswerMargin = milliseconds(400);
-constexpr char kFaultsPath[] = "/v1/faults";
+// Of the 160 MB that the smallest hosts have; responses of targets take up to
+// 32 MB, the program and its targets the rest.
+constexpr std::size_t kClientMemoryBytes = std::size_t{48} * 1024 * 1024;
 // Time for callers to read the rest of their last answers.
 constexpr Duration kFlushDelay = milliseconds(150);
 
@@ -126,62 +128,12 @@
                 },
                 [this] { FailOverAll(MonotonicNow()); }}),
       relay_(loop, RelaySelector(settings_.zone(), random_.Next())),
-      timer_(loop, [this] {
-        searches_.Tick(MonotonicNow());
-        SetNextTimer();
-      }) {}
-
-Result<void> ForwardHost::StartListeners() {
-  const auto start = [this](std::unique_ptr<HttpListener>& listener,
-                            const Address& address,
-                            HttpListener::Handlers handlers) -> Result<void> {
-    auto started = HttpListener::Start(loop_, address, {}, std::move(handlers));
-    if (!started) {
-      return tl::unexpected(started.error());
-    }
-    listener = std::move(*started);
-    return {};
-  };
-  auto started =
-      start(front_, settings_.http(),
-            {[this](ExchangeId exchange, HttpRequest request) {
-               OnRequest(exchange, std::move(request));
-             },
-             [this](ExchangeId exchange) { OnCallerDisconnected(exchange); }});
-  if (started) {
-    started = start(
-        relay_listener_, settings_.peer(),
-        {[this](ExchangeId exchange, const HttpRequest& request) {
-           OnRelayedRequest(exchange, request);
-         },
-         [this](ExchangeId exchange) { OnOriginDisconnected(exchange); }});
-  }
-  if (started && settings_.ready().port != 0) {
-    started = start(ready_listener_, settings_.ready(),
-                    {[this](ExchangeId exchange, const HttpRequest& request) {
-                       const bool good =
-                           request.path == names_.ready_path && ready();
-                       ready_listener_->SendResponse(
-                           exchange, {good ? 200 : 503, "text/plain",
-                                      good ? "ready\n" : "not ready\n"});
-                     },
-                     [](ExchangeId) {}});
-  }
-  if (started && settings_.metrics().port != 0) {
-    started = start(
-        metrics_listener_, settings_.metrics(),
-        {[this](ExchangeId exchange, const HttpRequest& request) {
-           const bool fault =
-               settings_.allow_faults() && request.path == kFaultsPath;
-           metrics_listener_->SendResponse(
-               exchange, fault ? OnFaultInjection(request)
-                               : HttpResponse{200, "text/plain; version=0.0.4",
-                                              MetricsPage()});
-         },
-         [](ExchangeId) {}});
-  }
-  return started;
-}
+      timer_(loop,
+             [this] {
+               searches_.Tick(MonotonicNow());
+               SetNextTimer();
+             }),
+      clients_(loop, ClientLimitsFor(settings_, kClientMemoryBytes)) {}
 
 Result<void> ForwardHost::Start() {
   if (Result<void> started = StartListeners(); !started) {
--- a/src/libsnipeworks/forward_host_feed.cpp
+++ b/src/libsnipeworks/forward_host_feed.cpp
@@ -13,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Of a relayed request, besides the caller's headers and body.
-constexpr std::size_t kRelayOverheadBytes = std::size_t{256} * 1024;
 // A target that becomes known later than this after the start of the host has
 // just started: then no wall clock is needed, which may be wrong.
 constexpr Duration kFirstSync = std::chrono::seconds(10);
@@ -31,30 +29,6 @@
              : Duration{};
 }
 
-ListenerLimits ToListenerLimits(const CallerLimits& limits) {
-  ListenerLimits result;
-  if (limits.max_header_bytes > 0) {
-    result.max_header_bytes = limits.max_header_bytes;
-  }
-  if (limits.max_body_bytes > 0) {
-    result.max_body_bytes = limits.max_body_bytes;
-  }
-  if (limits.header_timeout_ms > 0) {
-    result.header_timeout = milliseconds(limits.header_timeout_ms);
-  }
-  if (limits.idle_timeout_ms > 0) {
-    result.idle_timeout = milliseconds(limits.idle_timeout_ms);
-  }
-  return result;
-}
-
-ListenerLimits RelayListenerLimits(const ListenerLimits& callers) {
-  ListenerLimits limits;
-  limits.max_body_bytes =
-      callers.max_body_bytes + callers.max_header_bytes + kRelayOverheadBytes;
-  return limits;
-}
-
 }  // namespace
 
 void ForwardHost::OnTargets(const std::vector<Announcement>& changes) {
@@ -134,9 +108,7 @@
     }
   }
   searches_.SetColdLimits(MonotonicNow(), std::move(cold_limits));
-  const ListenerLimits limits = ToListenerLimits(routing.limits);
-  front_->SetLimits(limits);
-  relay_listener_->SetLimits(RelayListenerLimits(limits));
+  SetListenerLimits(routing.limits);
   customers_ = CustomerDirectory(routing.customers, key_seed_);
   // The planner needs no customers: their keys take the most memory.
   planner_.SetRouting(
--- a/src/libsnipeworks/forward_host_requests.cpp
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -61,6 +61,12 @@
     RejectUnauthorized(exchange, request, customer.error());
     return;
   }
+  if (request.body_truncated) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady, "the route is newer than the request",
+            kNotReadyRetryAfter});
+    return;
+  }
   auto plan = planner_.Plan(*route);
   if (draining_ && !HasTimeToRun(final_answers_at_ - now,
                                  searches_.SlowLatency(plan->name))) {
--- a/src/libsnipeworks/host_settings.cpp
+++ b/src/libsnipeworks/host_settings.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kMaxHosts = 10000;
 constexpr std::uint64_t kMaxShutdownHoldMs = 60000;
 constexpr std::size_t kMaxSeeds = 100;
+constexpr std::uint64_t kBytesPerKilobyte = 1024;
+constexpr std::uint64_t kMaxClientMemoryKb = std::uint64_t{64} * 1024 * 1024;
+constexpr std::uint64_t kMaxClientConnections = 1'000'000;
 
 // Names of the settings that make up a RequestLimitBounds.
 struct LimitBoundsNames {
@@ -27,7 +30,7 @@
   double max;
 };
 
-constexpr std::array<std::string_view, 32> kSettingNames = {
+constexpr std::array<std::string_view, 35> kSettingNames = {
     "host",
     "zone",
     "http",
@@ -59,6 +62,9 @@
     "cold_window_ms",
     "cold_tolerance_percent",
     "cold_slack",
+    "client_memory_kb",
+    "client_connections",
+    "client_stall_ms",
     "policy"};
 
 Address ReadAddress(JsonReader& reader, const char* name) {
@@ -280,6 +286,13 @@
       reader, *document,
       {"cold_window_ms", "cold_tolerance_percent", "cold_slack"},
       settings.limit_bounds_.cold);
+  settings.client_memory_bytes_ =
+      kBytesPerKilobyte *
+      reader.UnsignedOr("client_memory_kb", 0, 0, kMaxClientMemoryKb);
+  settings.client_connections_ =
+      reader.UnsignedOr("client_connections", 0, 0, kMaxClientConnections);
+  settings.client_stall_ =
+      ReadMilliseconds(reader, "client_stall_ms", settings.client_stall_);
   settings.policy_ = ReadPolicy(reader, *document);
   if (document->is_object()) {
     for (const auto& [name, value] : document->items()) {
