--- a/src/include/snipeworks/target_directory.h
+++ b/src/include/snipeworks/target_directory.h
@@ -69,7 +69,7 @@
   void SetShareCold(Instant now, bool share);
   bool shares_cold() const { return share_cold_; }
   /// How long `target` is still cold by its reports, in milliseconds.
-  std::uint32_t ColdRemainingMs(Instant now, const std::string& target) const;
+  std::uint32_t ColdTimeLeftMs(Instant now, const std::string& target) const;
 
   /// The changes after `serial`, with the times that targets are still cold if
   /// these are shared.
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -254,7 +254,7 @@
     Announcement renewed = *known;
     renewed.sequence = heartbeat.sequence;
     renewed.state = heartbeat.state;
-    renewed.cold_ms = directory_.ColdRemainingMs(now, heartbeat.target);
+    renewed.cold_ms = directory_.ColdTimeLeftMs(now, heartbeat.target);
     if (directory_.Apply(now, renewed) == AnnounceResult::kChange) {
       OnTargetChange(renewed, "control");
     }
--- a/src/libsnipeworks/target_directory.cpp
+++ b/src/libsnipeworks/target_directory.cpp
@@ -112,9 +112,8 @@
   }
 }
 
-std::uint32_t TargetDirectory::ColdRemainingMs(
-    Instant now,
-    const std::string& target) const {
+std::uint32_t TargetDirectory::ColdTimeLeftMs(Instant now,
+                                              const std::string& target) const {
   const auto found = cold_until_.find(target);
   if (found == cold_until_.end() || found->second <= now) {
     return 0;
@@ -250,7 +249,7 @@
   std::vector<Announcement> changes = ChangesSince(serial);
   if (share_cold_) {
     for (Announcement& announcement : changes) {
-      announcement.cold_ms = ColdRemainingMs(now, announcement.target);
+      announcement.cold_ms = ColdTimeLeftMs(now, announcement.target);
     }
   }
   return changes;
