Mend what the reviews of the merged parts found

What callers could see, each found by reading: after a minute without a change of the targets the file with the serving targets was too old to be used after a loss of power; a client that names its request id in Connection could stop the reuse of connections to every target for a minute; bodies stayed in the write buffers of idle target connections (up to 278 KB each, uncounted); a small customer could run eight requests at each of all hosts at once; an order refused for too many zones was acknowledged when it was repeated; pipelined requests were dropped without an answer by a host that stops; hundreds of idle connections kept the memory budget from learning what the process needs itself.

Change: an unchanged set of targets is saved again every 15 s; the id is the one that the target sees, without blanks, and a call without an id takes the first answer of its own connection; large write buffers are freed after the write; the uncounted charges of a host stay within the burst; a host that lists its shares gets all of them; refused orders stay refused; the path of a request counts; a client may stall for 20 s (10 before), more than the 15 s for which it may be idle.

No test of its own for each of these yet.

--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -128,6 +128,7 @@
   std::map<std::string, std::uint64_t> settings_version_by_host_;
   bool saving_targets_ = false;
   std::uint64_t saved_targets_digest_ = 0;  ///< See ServingDigest.
+  Instant targets_saved_at_{};
   Instant next_reopen_at_{};
   Instant last_current_at_{};  ///< When this host last knew of a quorum.
   Instant last_iteration_at_{};
--- a/src/include/snipeworks/host_settings.h
+++ b/src/include/snipeworks/host_settings.h
@@ -126,7 +126,7 @@
   QuotaBounds quota_bounds_;
   std::size_t client_memory_bytes_ = 0;
   std::size_t client_connections_ = 0;
-  Duration client_stall_ = std::chrono::seconds(10);
+  Duration client_stall_ = std::chrono::seconds(20);
   GroupPolicy policy_;
   TargetLimitBounds limit_bounds_;
 };
--- a/src/include/snipeworks/http_listener.h
+++ b/src/include/snipeworks/http_listener.h
@@ -27,7 +27,7 @@
   Duration request_timeout = std::chrono::seconds(30);
   /// Time in which a client neither sends a byte of a body that is due nor
   /// reads one of a response.
-  Duration stall_timeout = std::chrono::seconds(10);
+  Duration stall_timeout = std::chrono::seconds(20);
   /// Time without a request in progress.
   Duration idle_timeout = std::chrono::seconds(60);
   /// Connections beyond this are reset; 0 for no limit.
--- a/src/include/snipeworks/http_message.h
+++ b/src/include/snipeworks/http_message.h
@@ -20,6 +20,9 @@
 /// True if `a` and `b` are the same header name, ignoring case.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
+/// `text` without the blanks and tabs at its ends.
+std::string_view TrimBlanks(std::string_view text);
+
 /// True if `name` is a valid header name: a token (RFC 9110, section 5.6.2).
 bool IsHeaderName(std::string_view name);
 
--- a/src/libsnipeworks/client_memory_budget.cpp
+++ b/src/libsnipeworks/client_memory_budget.cpp
@@ -138,12 +138,17 @@
                limits_.max_bytes / kMaxRetainedDivisor);
 }
 
+bool ClientMemoryBudget::IsQuiet() const {
+  return held_bytes_ - accounts_.size() * kConnectionBytes <
+         limits_.max_bytes / kQuietDivisor;
+}
+
 bool ClientMemoryBudget::OnResidentMemory(std::size_t resident_bytes) {
   SetRetained(resident_bytes);
   if (retained_bytes_ > limits_.max_bytes / kRetainedDivisor) {
     return true;
   }
-  if (held_bytes_ < limits_.max_bytes / kQuietDivisor) {
+  if (IsQuiet()) {
     own_bytes_ = resident_bytes - std::min(resident_bytes, held_bytes_);
     retained_bytes_ = 0;
   }
@@ -152,7 +157,7 @@
 
 void ClientMemoryBudget::OnMemoryReturned(std::size_t resident_bytes) {
   SetRetained(resident_bytes);
-  if (held_bytes_ < limits_.max_bytes / kQuietDivisor) {
+  if (IsQuiet()) {
     own_bytes_ = resident_bytes - std::min(resident_bytes, held_bytes_);
     retained_bytes_ = 0;
   }
--- a/src/libsnipeworks/control_host_targets.cpp
+++ b/src/libsnipeworks/control_host_targets.cpp
@@ -19,6 +19,8 @@
 // A loss of power of all hosts lasts seconds. After a longer absence the other
 // control hosts know more than the disk of this one.
 constexpr Duration kMaxSnapshotAge = std::chrono::seconds(60);
+// An unchanged set is written again, so that its file does not grow too old.
+constexpr Duration kRewriteInterval = kMaxSnapshotAge / 4;
 
 }  // namespace
 
@@ -48,7 +50,11 @@
 void ControlHost::SaveTargets() {
   const TargetView& view = membership_.directory().view();
   const std::uint64_t digest = ServingDigest(view);
-  if (saving_targets_ || digest == saved_targets_digest_) {
+  const Instant now = MonotonicNow();
+  const bool saved = targets_saved_at_ != Instant{} &&
+                     digest == saved_targets_digest_ &&
+                     now - targets_saved_at_ < kRewriteInterval;
+  if (saving_targets_ || saved) {
     return;
   }
   TargetSnapshot snapshot;
@@ -65,10 +71,11 @@
        content = EncodeTargetSnapshot(snapshot)] {
         *result = ReplaceFile(path, content);
       },
-      [this, result, digest] {
+      [this, result, digest, now] {
         saving_targets_ = false;
         if (*result) {
           saved_targets_digest_ = digest;
+          targets_saved_at_ = now;
         } else {
           LOG_EVERY_N(WARNING, 10) << "event=targets_not_saved reason=\""
                                    << result->error().detail << "\"";
--- a/src/libsnipeworks/forward_message.cpp
+++ b/src/libsnipeworks/forward_message.cpp
@@ -32,8 +32,11 @@
   message->head.reserve(512);
   message->head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
   auto forwarded = std::make_shared<ForwardedRequest>();
-  forwarded->request_id = std::string(request.Header(names.request_id));
   RemoveHopByHopHeaders(request.headers);
+  // What the target sees: not an id that the caller had removed, and without
+  // the blanks around it.
+  forwarded->request_id =
+      std::string(TrimBlanks(request.Header(names.request_id)));
   for (const HttpHeader& header : request.headers) {
     if (SameHeaderName(header.name, names.deadline_ms) ||
         SameHeaderName(header.name, names.expected_target) ||
--- a/src/libsnipeworks/http_client.cpp
+++ b/src/libsnipeworks/http_client.cpp
@@ -39,6 +39,7 @@
 // Memory of a header in addition to its text.
 constexpr std::size_t kHeaderOverheadBytes = sizeof(HttpHeader);
 constexpr std::size_t kMaxHeaders = 256;
+constexpr std::size_t kKeptWriteBufferBytes = std::size_t{4} * 1024;
 constexpr std::uint64_t kNoContentLength =
     std::numeric_limits<std::uint64_t>::max();
 // Smaller responses are not counted once they are complete, and not aborted for
@@ -469,6 +470,7 @@
                     static_cast<unsigned>(connection.write_buffer.size()));
     const int written = uv_try_write(stream, &buffer, 1);
     if (written == static_cast<int>(connection.write_buffer.size())) {
+      FreeLargeWriteBuffer(connection);
       return;
     }
     if (written < 0 && written != UV_EAGAIN) {
@@ -484,10 +486,19 @@
     connection.writing = true;
     uv_write(&connection.write, stream, &buffer, 1,
              [](uv_write_t* request, int) {
-               static_cast<HttpConnection*>(request->data)->writing = false;
+               auto& connection = *static_cast<HttpConnection*>(request->data);
+               connection.writing = false;
+               FreeLargeWriteBuffer(connection);
              });
   }
 
+  // Idle connections would keep the bodies that they have sent.
+  static void FreeLargeWriteBuffer(HttpConnection& connection) {
+    if (connection.write_buffer.capacity() > kKeptWriteBufferBytes) {
+      std::string().swap(connection.write_buffer);
+    }
+  }
+
   struct ParsedBytes {
     std::size_t count = 0;
     bool malformed = false;
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -248,7 +248,7 @@
     std::vector<Connection*> closable;
     for (const auto& [id, connection] : connections_) {
       if (connection->IsIdle() && !connection->AwaitsFirstRequest(now) &&
-          !connection->HasUnreadBytes()) {
+          connection->pipelined.empty() && !connection->HasUnreadBytes()) {
         closable.push_back(connection);
       }
     }
--- a/src/libsnipeworks/http_listener_state.cpp
+++ b/src/libsnipeworks/http_listener_state.cpp
@@ -113,6 +113,7 @@
   }
   request.method = http_method_str(static_cast<http_method>(parser->method));
   request.path = request.target.substr(0, request.target.find('?'));
+  connection.HoldForRequest(request.path.size());
   const bool has_body = has_length || ((parser->flags & F_CHUNKED) != 0);
   connection.awaits_continue =
       has_body && HeaderListContains(request.Header("Expect"), "100-continue");
@@ -183,6 +184,7 @@
   // An assignment of an empty string or vector would keep their memory.
   std::vector<HttpHeader>().swap(request.headers);
   std::string().swap(request.target);
+  std::string().swap(request.path);
   std::string().swap(request.body);
   budget->Release(*account, std::exchange(request_bytes, 0));
 }
--- a/src/libsnipeworks/http_message.cpp
+++ b/src/libsnipeworks/http_message.cpp
@@ -26,7 +26,9 @@
          kTokenPunctuation.find(c) != std::string_view::npos;
 }
 
-std::string_view Trim(std::string_view text) {
+}  // namespace
+
+std::string_view TrimBlanks(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) {
     return {};
@@ -34,8 +36,6 @@
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-}  // namespace
-
 bool SameHeaderName(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -61,7 +61,7 @@
 bool HeaderListContains(std::string_view list, std::string_view item) {
   while (!list.empty()) {
     const auto comma = list.find(',');
-    if (SameHeaderName(Trim(list.substr(0, comma)), item)) {
+    if (SameHeaderName(TrimBlanks(list.substr(0, comma)), item)) {
       return true;
     }
     list = comma == std::string_view::npos ? std::string_view()
--- a/src/libsnipeworks/quota_allocator.cpp
+++ b/src/libsnipeworks/quota_allocator.cpp
@@ -398,8 +398,9 @@
   grant.lease_ms =
       std::chrono::duration_cast<milliseconds>(kQuotaLease).count();
   // Changes build on the newest grant: a host that lacks it gets all shares.
+  // So does one that lists what it holds: its lease may have ended here later.
   grant.full = host.serial == 0 || report.term != term_ ||
-               report.grant_serial != host.serial;
+               report.grant_serial != host.serial || report.lists_shares;
   Confirm(now, host, report);
   ReadUses(now, host, report);
   if (host.listed) {
--- a/src/libsnipeworks/quota_limiter.cpp
+++ b/src/libsnipeworks/quota_limiter.cpp
@@ -129,7 +129,8 @@
 // A host with a share may see a burst that is as large as its share of it.
 double QuotaLimiter::UncountedAllowance(Instant now, const State& state) const {
   if (now <= contact_until_ - kQuotaContact + kFreshContact) {
-    return std::max(kFreshAllowance, state.share * state.quota.burst);
+    return std::max(std::min(kFreshAllowance, std::max(1.0, state.quota.burst)),
+                    state.share * state.quota.burst);
   }
   return kStaleAllowance +
          (now - state.uncounted_since < kReportTime ? 1.0 : 0.0);
--- a/src/libsnipeworks/request_authorization.cpp
+++ b/src/libsnipeworks/request_authorization.cpp
@@ -12,14 +12,6 @@
 constexpr Duration kBehindRetryAfter = std::chrono::milliseconds(300);
 constexpr std::string_view kBlanks = " \t";
 
-std::string_view Trimmed(std::string_view text) {
-  const auto first = text.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
-}
-
 // The key in a request, or why there is none.
 struct KeyInRequest {
   std::string_view key;
@@ -42,13 +34,13 @@
   if (authorization == nullptr) {
     return {{}, "the request has no key"};
   }
-  const std::string_view value = Trimmed(authorization->value);
+  const std::string_view value = TrimBlanks(authorization->value);
   const std::string_view scheme = value.substr(0, value.find_first_of(kBlanks));
   // Schemes ignore case, as header names do.
   if (!SameHeaderName(scheme, names.key_scheme)) {
     return {{}, "the authorization header has another scheme"};
   }
-  const std::string_view key = Trimmed(value.substr(scheme.size()));
+  const std::string_view key = TrimBlanks(value.substr(scheme.size()));
   return {key, key.empty() ? "the key is empty" : nullptr};
 }
 
--- a/src/libsnipeworks/response_match.cpp
+++ b/src/libsnipeworks/response_match.cpp
@@ -20,6 +20,10 @@
 ResponseMatch ResponseMatcher::Match(std::string_view expected,
                                      std::string_view received,
                                      bool first_call) {
+  // The call has no identifier, so nothing but its connection tells.
+  if (expected.empty()) {
+    return first_call ? ResponseMatch::kLastAnswer : ResponseMatch::kForeign;
+  }
   if (!received.empty()) {
     if (received != expected) {
       return ResponseMatch::kForeign;
--- a/src/libsnipeworks/zone_evacuations.cpp
+++ b/src/libsnipeworks/zone_evacuations.cpp
@@ -25,17 +25,16 @@
 ZoneEvacuations::Outcome ZoneEvacuations::Evacuate(const std::string& order,
                                                    const std::string& zone,
                                                    std::int64_t time_s) {
-  if (IsRepeated(order, time_s)) {
-    return Outcome::kUnchanged;
-  }
   const auto at =
       std::ranges::lower_bound(zones_, zone, {}, &EvacuatedZone::zone);
-  if (at != zones_.end() && at->zone == zone) {
-    return Outcome::kUnchanged;
-  }
-  if (zones_.size() >= kMaxEvacuatedZones) {
+  const bool known = at != zones_.end() && at->zone == zone;
+  // A refused order must be refused again if it is repeated.
+  if (!known && zones_.size() >= kMaxEvacuatedZones) {
     return Outcome::kTooMany;
   }
+  if (IsRepeated(order, time_s) || known) {
+    return Outcome::kUnchanged;
+  }
   zones_.insert(at, {zone, time_s});
   return Outcome::kChanged;
 }
