--- a/src/include/snipeworks/client_memory_budget.h
+++ b/src/include/snipeworks/client_memory_budget.h
@@ -47,10 +47,6 @@
     Instant moved_at() const { return moved_at_; }
 
    private:
-    /// True if requests and responses hold so little that the process's memory
-    /// is its own. Connections are not counted: hundreds may stay open and
-    /// idle.
-    bool IsQuiet() const;
     friend class ClientMemoryBudget;
     ClientId id_ = 0;
     std::size_t held_bytes_ = 0;
