Review, case 7: a crash of all servers bans their most frequent request for a minute

The request is taken for one that crashes servers and refused everywhere after the servers are back.

--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -273,6 +274,7 @@
         self.record = record or (lambda text: None)
         self.deployment, self.name, self.service = deployment, name, service
         self.address, self.zone, self.slots, self.work_s = address, zone, slots, work_s
+        self.first_name, self.starts = name, 0
         self.answer = answer or self.succeed
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -310,6 +312,26 @@
             except OSError:
                 pass
 
+    def crash(self):
+        """Ends without a word: the port refuses, open connections are reset."""
+        self.running = False
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+
+    def restart(self):
+        """Starts again as a new incarnation with a new id."""
+        self.starts += 1
+        self.name = f"{self.first_name}-{self.starts}"
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.start()
+
     def report(self, control, state=None):
         self.sequence += 1
         return call("POST", control, f"/instances/{self.name}/heartbeat", {
@@ -366,6 +388,8 @@
         self.record(f"run: {request.method} {request.path} {identity} at {self.name} of "
                     f"{self.service} in {self.zone}")
         time.sleep(self.work_s)
+        if not self.running:
+            raise OSError("this incarnation has ended")
         status, headers, body = self.answer(request)
         send(connection, status, {"Request-Id": identity, "Server-Stamp": self.stamp(identity),
                                   **headers}, body)
