--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,111 +1,82 @@
-"""All servers of a service crash together while they run the same, harmless request. The request is
-then refused everywhere for a minute, though the servers are back after a few seconds."""
+"""A version names a shard twice: each answer holds the shard's part twice, and its records twice."""
 
+import hashlib
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import stand  # noqa: E402
 
-DOWN_S = 4.5
-STABILITY_S = 5.0  # Bounds.StabilityWindowMs
-JUDGED_S = 20.0
+SHARDS = ["shard-1", "shard-2", "shard-3"]
+TOP = 6
 
 
-def configuration(version):
-    def route(name, path, service):
-        return {"Name": name, "Host": "plain.example", "PathPrefix": path, "Kind": "idempotent",
-                "TimeoutMs": 1500, "TargetLatencyMs": 400, "Priority": 1, "Service": service,
-                "MaxAttempts": 2}
-    routes = [route("first", "/first/", "service-1")]
-    if version > 1:
-        routes.append(route("later", "/later/", "service-2"))
-    return {"Version": version, "Routes": routes,
+def configuration(version, shards):
+    return {"Version": version,
+            "Routes": [{"Name": "search", "Host": "search.example", "PathPrefix": "/s/",
+                        "Kind": "idempotent", "TimeoutMs": 1500, "TargetLatencyMs": 200,
+                        "Priority": 1, "FanoutServices": shards, "MaxAttempts": 2, "TopK": TOP,
+                        "MinShardShare": 0.75}],
             "Services": [{"Name": name, "HealthPath": "/health", "MaxConnections": 60,
-                          "Protocol": "h1", "Tls": False} for name in ("service-1", "service-2")],
+                          "Protocol": "h1", "Tls": False} for name in SHARDS],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
                        "IdleTimeoutMs": 15000}}
 
 
-class Clients:
-    """`threads` clients of each entry machine that send the same request again and again."""
-
-    def __init__(self, deployment, record, path, threads):
-        self.deployment, self.record, self.path = deployment, record, path
-        self.running = True
-        self.answers = []  # (time sent, status)
-        self.threads = [threading.Thread(target=self._loop, args=(i,), daemon=True)
-                        for i in range(len(deployment.fronts)) for _ in range(threads)]
-        for thread in self.threads:
-            thread.start()
-
-    def _loop(self, index):
-        address, port = self.deployment.front(index)
-        while self.running:
-            identity, sent = stand.request_id(), time.monotonic()
-            status, _, _ = stand.call(
-                "GET", f"{address}:{port}", self.path, timeout=2.0,
-                headers={"Host": "plain.example", "Request-Id": identity, "Deadline-Ms": "1500"})
-            self.answers.append((sent, status))
-            self.record(f"client: GET {self.path} {identity} at front-{index}: {status}")
-            time.sleep(0.1)
-
-    def stop(self):
-        self.running = False
-        for thread in self.threads:
-            thread.join()
-
-    def share(self, since, until):
-        statuses = [status for sent, status in self.answers if since < sent < until]
-        return sum(status == 200 for status in statuses), len(statuses)
+def records(service, path):
+    """All servers of a shard respond equally well: with the same records."""
+    return [hashlib.md5(f"{service} {path} {i}".encode()).digest() for i in range(4)]
 
 
 def case(record):
     deployment = stand.Deployment(cores=3, fronts=2)
     deployment.servers = [
-        stand.Server(deployment, f"i-{service}-{zone}", service,
-                     f"{deployment.net}.{200 + z}:{20000 + s}", zone, record=record, work_s=0.06)
-        for s, service in enumerate(("service-1", "service-2"))
-        for z, zone in enumerate(deployment.zones)]
+        stand.Server(deployment, f"i-{name}-{zone}", name,
+                     f"{deployment.net}.{200 + z}:{20000 + s}", zone, record=record,
+                     answer=lambda request, name=name: (
+                         200, {}, b"".join(records(name, request.path))))
+        for s, name in enumerate(SHARDS) for z, zone in enumerate(deployment.zones)]
     operator = stand.Operator(deployment, record)
-    clients = []
     try:
-        deployment.start(configuration(1))
-        operator.order("POST", "/config/replace", configuration(2))
-        time.sleep(4.5)
-        clients = [Clients(deployment, record, path, 4) for path in ("/first/a", "/later/a")]
-        time.sleep(6.0)
-        crashed = [server for server in deployment.servers if server.service == "service-2"]
+        deployment.start(configuration(1, SHARDS))
+        time.sleep(3.0)
         if stand.TROUBLE:
-            record("all servers of service-2 crash")
-            for server in crashed:
-                server.crash()
-            time.sleep(DOWN_S)
-            for server in crashed:
-                server.restart()
-            record("all servers of service-2 are back")
-        back = time.monotonic()
-        since = back + STABILITY_S + 1.0
-        time.sleep(max(0.0, since + JUDGED_S - time.monotonic()))
-        until = time.monotonic()
-        for each in clients:
-            each.stop()
-        first, later = (each.share(since, until) for each in clients)
-        record(f"from {since - back:.0f} s after the servers are back, in {until - since:.0f} s: "
-               f"first route {first[0]} of {first[1]} served, later route {later[0]} of {later[1]}")
-        if first[1] < 20 or later[1] < 20 or first[0] * 2 < first[1]:
-            raise stand.CannotRun("the first route was not served")
+            operator.order("POST", "/config/replace",
+                           configuration(2, [SHARDS[0], SHARDS[0], SHARDS[1], SHARDS[2]]))
+            record(f"version 2 is acknowledged; it names {SHARDS[0]} twice")
+        time.sleep(5.0)
+        successes, twice, wrong = 0, [], []
+        for n in range(40):
+            identity, path = stand.request_id(), f"/s/{n}"
+            address, port = deployment.front(n % 2)
+            status, headers, body = stand.call(
+                "GET", f"{address}:{port}", path, timeout=2.0,
+                headers={"Host": "search.example", "Request-Id": identity, "Deadline-Ms": "1500"})
+            stamps = [stamp.strip() for stamp in headers.get("Part-Stamps", "").split(",")]
+            services = [stamp.split(".")[0] for stamp in stamps]
+            record(f"client: GET {path} {identity}: {status}, parts of {services}, missing "
+                   f"{headers.get('Missing-Parts')}, {len(body) // 16} records, "
+                   f"{len({body[i:i + 16] for i in range(0, len(body), 16)})} different")
+            if status != 200:
+                continue
+            successes += 1
+            if len(set(services)) != len(services):
+                twice.append(identity)
+            expected = b"".join(sorted((item for name in set(services)
+                                        for item in records(name, path)), reverse=True)[:TOP])
+            if body != expected:
+                wrong.append(identity)
+            time.sleep(0.03)
+        if successes < 20:
+            raise stand.CannotRun(f"{successes} of 40 requests were served")
         broken = []
-        if later[0] * first[1] * 4 < first[0] * later[1]:
-            broken.append(f"CONFIG: in steady state {later[0]} of {later[1]} requests on the route "
-                          f"that was added later are served, and {first[0]} of {first[1]} on the "
-                          "first")
+        if twice or wrong:
+            broken.append(f"MIXED: of {successes} successes {len(twice)} hold two signatures of "
+                          f"one service, and {len(wrong)} aren't the greatest {TOP} records of the "
+                          "services named")
         return broken
     finally:
-        for each in clients:
-            each.stop()
         deployment.stop()
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 import sys
 assert sys.version_info >= (3, 11), "tomllib is needed"
 CHECK
-for file in review/common-2/*.py review/[6-9]/case.py review/10/case.py; do
+for file in review/common-2/*.py review/[6-9]/case.py review/10/case.py review/trials-2/*.py; do
   [ ! -e "$file" ] || python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
 test -x target/bin/platform-entry
