Count a shard once that a routing document names twice

With one of four shards named five times and two shards lost, searches got 200 over 2 of 4 shards for a bound of 0.75.

Cause: the shards of a route are a set and were kept as a list. Such a document is valid (the interface lists what makes one invalid), so it is not refused; everything behind Validate took the length of the list for the number of shards.

Change: Route::shards and the groups of a relayed request are a GroupSet, which holds each name once. The document is read back as it was sent.

--- a/src/include/snipeworks/relay_messages.h
+++ b/src/include/snipeworks/relay_messages.h
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <vector>
 
+#include "snipeworks/group_set.h"
 #include "snipeworks/http_message.h"
 #include "snipeworks/policy.h"
 #include "snipeworks/relay_selector.h"
@@ -44,7 +45,7 @@
   std::string origin;  ///< Host name, for the log.
   std::string plan_name;
   std::uint64_t plan_version = 0;
-  std::vector<std::string> groups;
+  GroupSet groups;
   GroupPolicy policy;
   std::int64_t request_class = 0;
   bool repeatable = true;
--- a/src/include/snipeworks/routing.h
+++ b/src/include/snipeworks/routing.h
@@ -12,6 +12,7 @@
 
 #include "snipeworks/clock.h"
 #include "snipeworks/error.h"
+#include "snipeworks/group_set.h"
 #include "snipeworks/wire.h"
 
 namespace snipeworks {
@@ -45,7 +46,7 @@
   /// One group, or several among which requests are split by weight.
   std::vector<WeightedGroup> groups;
   /// Groups that each hold a part of the requested data.
-  std::vector<std::string> shards;
+  GroupSet shards;
   std::uint32_t top_records = 0;  ///< Records in an answer over all shards.
   double min_shard_share = 0.0;   ///< Minimum share of shards in an answer.
   /// True if requests need no key of a customer.
--- a/src/libsnipeworks/control_calls.cpp
+++ b/src/libsnipeworks/control_calls.cpp
@@ -212,7 +212,7 @@
         {weighted.String(names.group), weighted.Unsigned32Or(names.weight, 1)});
     reader.AddErrorFrom(weighted);
   }
-  route.shards = reader.StringsOr(names.shards);
+  route.shards = GroupSet::Of(reader.StringsOr(names.shards));
   route.is_public = reader.BoolOr(names.is_public, false);
   outer.AddErrorFrom(reader);
   return route;
--- a/src/libsnipeworks/control_membership.cpp
+++ b/src/libsnipeworks/control_membership.cpp
@@ -141,7 +141,7 @@
   }
   std::set<std::string> groups;
   for (const Route& route : routing.routes) {
-    groups.insert(route.shards.begin(), route.shards.end());
+    groups.insert(route.shards.names().begin(), route.shards.names().end());
     for (const WeightedGroup& weighted : route.groups) {
       groups.insert(weighted.group);
     }
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -38,7 +38,7 @@
   RelayedForward message;
   message.plan_name = request.plan->name;
   message.plan_version = request.plan->version;
-  message.groups = request.plan->groups;
+  message.groups = GroupSet::Of(request.plan->groups);
   message.policy = Shortened(request.plan->policy, passed);
   if (message.policy.max_attempts > 0) {
     message.policy.max_attempts -= attempts;
@@ -70,7 +70,7 @@
   auto plan = std::make_shared<SearchPlan>();
   plan->name = std::move(message.plan_name);
   plan->version = message.plan_version;
-  plan->groups = std::move(message.groups);
+  plan->groups = message.groups.names();
   plan->policy = message.policy;
   request.plan = std::move(plan);
   request.group = request.plan->name;
--- a/src/libsnipeworks/forward_plan.cpp
+++ b/src/libsnipeworks/forward_plan.cpp
@@ -55,7 +55,7 @@
                    std::move(groups), PolicyFor(route)}));
   };
   if (!route.shards.empty()) {
-    add(route.name, route.shards);
+    add(route.name, route.shards.names());
     weighted.weights.push_back(1.0);
   }
   for (const WeightedGroup& weighted_group : route.groups) {
--- a/src/libsnipeworks/routing.cpp
+++ b/src/libsnipeworks/routing.cpp
@@ -77,7 +77,7 @@
 Result<void> Validate(const Route& route,
                       const std::set<std::string>& known_groups) {
   const std::string where = "route " + route.name + ": ";
-  std::vector<std::string> group_names = route.shards;
+  std::vector<std::string> group_names = route.shards.names();
   std::uint64_t total_weight = 0;
   for (const WeightedGroup& item : route.groups) {
     group_names.push_back(item.group);
--- a/testsuite/mixed_versions/run.py
+++ b/testsuite/mixed_versions/run.py
@@ -4,7 +4,9 @@
 
 Hosts are replaced one after the other, first by this version, then by the previous one, then by
 this one again, under searches, orders and changes of the routes. Departures that this version has
-recorded outlive all of it, also a compaction of the log by a host of the previous version."""
+recorded outlive all of it, also a compaction of the log by a host of the previous version. An entry
+host of this version counts each shard once that a document names twice, whichever version its
+control hosts have and wherever the document was stored."""
 
 import json
 import os
@@ -140,6 +142,31 @@
         used = {name for name in targets if len(targets[name].arrival_times) > before[name]}
         check(used == {"stays"}, f"{used} are used")
 
+    def check_shards_count_once(text):
+        calls = [Call(deployment.entries[0], "search.test", f"/{i}").perform() for i in range(20)]
+        faults = [call.response_fault(deployment.groups) for call in calls]
+        check(not any(faults), f"{text}: {faults}")
+        check(all(call.status == 200 for call in calls), f"{text}: all are served")
+
+    # A document that names shards twice, at control hosts of either version.
+    replace("entry-1", programs)
+    search = deployment.routes()[0]
+    twice = deployment.groups + deployment.groups[:2]
+    check(deployment.replace_routing(deployment.routes(search={**search, "shards": twice}),
+                                     control[0]) == 200, "the document is accepted")
+    wait_for("its version is read", lambda: (
+        deployment.read_routing(control[2]) or {}).get("version") == deployment.version, 5)
+    time.sleep(1)
+    check_shards_count_once("control hosts of the previous version")
+    for version, text in ((programs, "this version on stores of the previous one"),
+                          (previous, "the previous version on stores of this one")):
+        for i in range(len(control)):
+            replace(f"control-{i + 1}", version)
+        replace("entry-1", programs)
+        check_shards_count_once(text)
+    change_routes(control[0])
+    replace("entry-1", previous)
+
     # This version beside the previous one, first as a follower of it.
     traffic = Traffic(deployment)
     replace("control-3", programs)
