Turn away orders about zones that a newer one may have overtaken

Cause: an order about a zone has no version, and was taken for as old as the moment at which it was read. It can wait in the socket of a host that is stopped, on a link that was cut, in a proxy, or on its way to the leader.

Change: a request says after which time it was sent, from its connection alone: accepted, or last answered, and for connections that waited to be accepted the poll before. What the host had applied while the caller waited is the base of the order. An order whose caller has closed is not proposed, and one that reverses an order of the last minute waits 0.1 s for the close. Nothing else is slower.

Why it works: the caller of a late order had its successors acknowledged more than a second after it sent the late one, so they are behind its base in the log of each leader.

--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "snipeworks/clock.h"
@@ -134,6 +135,12 @@
   /// current term().
   std::optional<LogIndex> Propose(Instant now, std::string command);
 
+  /// The commands behind `index` in the log of this host, committed or not,
+  /// oldest first; valid until the next call of a member that is not const.
+  /// Nullopt if compaction has removed some of them.
+  std::optional<std::vector<std::string_view>> CommandsAfter(
+      LogIndex index) const;
+
   /// Adds a host as a member without a vote, or removes one. Returns false if
   /// this host does not lead or another membership change is in progress.
   bool AddMember(Instant now,
--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "snipeworks/consensus_node.h"
@@ -19,6 +20,7 @@
 #include "snipeworks/peer_transport.h"
 #include "snipeworks/quota_service.h"
 #include "snipeworks/rocks_log_store.h"
+#include "snipeworks/zone_order.h"
 
 namespace snipeworks {
 
@@ -60,6 +62,13 @@
     PeerServer::Reply reply;
   };
   using OnDecided = std::function<void(std::optional<CommandResult>)>;
+  // An operator's order about a zone that has not been answered.
+  struct PendingZoneOrder {
+    ExchangeId exchange = 0;
+    Instant sent_after{};  ///< See HttpRequest::sent_after.
+    Instant received_at{};
+    ControlCommand command;
+  };
 
   void OpenNode();
   void ReopenStore();
@@ -85,12 +94,27 @@
   void ApplyDepartures();
   void ApplyStoredDepartures();
   void OnReplace(ExchangeId exchange, const ReplaceRouting& change);
-  void OnZoneOrder(ExchangeId exchange, const ZoneOrder& order);
+  void OnZoneOrder(ExchangeId exchange,
+                   const ZoneOrder& order,
+                   Instant sent_after);
+  /// True if `order` contradicts one that this host has had for a short time.
+  bool ReversesRecentOrder(const ControlCommand& order) const;
+  /// The log index of the state upon which an order was given.
+  LogIndex BaseOfOrder(Instant now, Instant sent_after) const;
+  bool IsOrderOvertaken(const ControlCommand& order) const;
+  void ProposeZoneOrder(const std::shared_ptr<PendingZoneOrder>& pending);
+  void FinishZoneOrder(const PendingZoneOrder& pending,
+                       const std::optional<CommandResult>& result);
+  void LogZoneOrder(const PendingZoneOrder& pending, const char* outcome);
   void OnReadRouting(ExchangeId exchange);
   void AnswerRead(ExchangeId exchange, const ReadReply& reply);
   void ProposeUntilDecided(const std::string& command,
                            Instant give_up,
                            const OnDecided& done);
+  /// Calls `done` with nullopt if no leader decides.
+  void ProposeOnce(const std::string& command,
+                   Instant give_up,
+                   const OnDecided& done);
   void Answer(ExchangeId exchange, const std::string& body);
   void AnswerError(ExchangeId exchange, const Error& error);
 
@@ -124,6 +148,9 @@
   std::unique_ptr<HttpListener> http_;
   std::unique_ptr<HttpListener> metrics_listener_;
   std::multimap<LogIndex, PendingProposal> pending_proposals_;
+  AppliedHistory applied_history_;
+  /// Of orders about zones whose callers wait.
+  std::set<ExchangeId> zone_order_exchanges_;
   /// The newest settings version that each entry host has reported.
   std::map<std::string, std::uint64_t> settings_version_by_host_;
   bool saving_targets_ = false;
--- a/src/include/snipeworks/control_messages.h
+++ b/src/include/snipeworks/control_messages.h
@@ -59,6 +59,8 @@
   kUnknown,     ///< Outcome: there is no such claim.
   kUnchanged,   ///< Routing: the version is not above the current one.
                 ///< Evacuation: the zone is in that state already.
+  kOvertaken,   ///< Evacuation: a newer order contradicts this one. Never in
+                ///< the log.
 };
 
 }  // namespace snipeworks
@@ -73,8 +75,11 @@
 struct ControlCommand {
   CommandKind kind = CommandKind::kSettings;
   std::int64_t time_s = 0;  ///< Set by the leader.
-  // kSettings; change_id also for kEvacuate and kReadmit
+  // kSettings; change_id and base_version also for kEvacuate and kReadmit
   std::string change_id;
+  /// The settings that the change was made against. For an order about a zone
+  /// the log index up to which its host had applied the log while the caller
+  /// waited; 0 from hosts of earlier versions, which do not tell.
   std::uint64_t base_version = 0;
   std::string author;
   std::string text;
--- a/src/include/snipeworks/error.h
+++ b/src/include/snipeworks/error.h
@@ -28,6 +28,7 @@
   kNoTarget,
   kClaimUnavailable,
   kNoQuorum,
+  kOvertaken,
   kKeyReused,
   kKeyExpired,
   kInProgress,
--- a/src/include/snipeworks/event_loop.h
+++ b/src/include/snipeworks/event_loop.h
@@ -41,6 +41,10 @@
   /// also before the loop waits. May be called once.
   void AfterEventBatch(Task task);
 
+  /// The I/O events that are being handled happened after this time, however
+  /// long the process was stopped meanwhile.
+  Instant events_since() const;
+
   uv_loop_s* raw();
 
  private:
--- a/src/include/snipeworks/http_message.h
+++ b/src/include/snipeworks/http_message.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "snipeworks/clock.h"
+
 namespace snipeworks {
 
 /// One header of a message.
@@ -51,6 +53,9 @@
   std::uint64_t connection_id = 0;
   /// Part of the body was not kept, as the handler asked for less of it.
   bool body_truncated = false;
+  /// The caller sent the request after this time, unless it sent it before it
+  /// had the response to its last one.
+  Instant sent_after{};
 
   /// The value of header `name`, ignoring case, or empty.
   std::string_view Header(std::string_view name) const;
--- a/src/libsnipeworks/consensus_node.cpp
+++ b/src/libsnipeworks/consensus_node.cpp
@@ -247,6 +247,24 @@
   return pending_.back().index;
 }
 
+std::optional<std::vector<std::string_view>> ConsensusNode::CommandsAfter(
+    LogIndex index) const {
+  if (index + 1 < first_index()) {
+    return std::nullopt;
+  }
+  std::vector<std::string_view> commands;
+  for (const auto* log : {&entries_, &pending_}) {
+    for (auto entry =
+             std::ranges::upper_bound(*log, index, {}, &LogEntry::index);
+         entry != log->end(); ++entry) {
+      if (entry->kind == EntryKind::kCommand) {
+        commands.emplace_back(entry->command);
+      }
+    }
+  }
+  return commands;
+}
+
 void ConsensusNode::Flush(Instant now) {
   if (pending_.empty()) {
     return;
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -116,6 +116,7 @@
 void ControlHost::OpenNode() {
   const Instant now = MonotonicNow();
   state_ = ControlState();
+  applied_history_.Clear();
   node_ = std::make_unique<ConsensusNode>(ConfigFor(settings_), *store_, state_,
                                           store_->stored(), now);
   ApplyStoredDepartures();
@@ -340,6 +341,16 @@
     return;
   }
   command->time_s = std::max(state_.time_s(), WallSecondsNow());
+  const bool zone_order = command->kind == CommandKind::kEvacuate ||
+                          command->kind == CommandKind::kReadmit;
+  // The log of a leader has all orders that have been acknowledged.
+  if (zone_order && command->base_version > 0 && node_ &&
+      node_->IsLeaderWithQuorum(MonotonicNow()) && IsOrderOvertaken(*command)) {
+    ProposeReply overtaken{true, {}, node_->leader()};
+    overtaken.result.status = CommandStatus::kOvertaken;
+    reply(Encode(overtaken));
+    return;
+  }
   const auto index =
       node_ ? node_->Propose(MonotonicNow(), Encode(*command)) : std::nullopt;
   if (!index) {
@@ -412,6 +423,7 @@
     if (node_->last_index() > last) {
       metrics_.OnDiskSync(MonotonicNow() - before);
     }
+    applied_history_.Record(before, node_->applied_index());
     AnswerAppliedProposals();
     ApplyDepartures();
   }
--- a/src/libsnipeworks/control_host_calls.cpp
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -1,11 +1,11 @@
 #include "snipeworks/control_host.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "control_host_timeouts.h"
 #include "snipeworks/caller_api.h"
 #include "snipeworks/compression.h"
 #include "snipeworks/text.h"
@@ -23,13 +23,6 @@
 // An operator's call is abandoned after this long. The operator's client turns
 // to another host sooner.
 constexpr Duration kProposeDeadline = std::chrono::seconds(4);
-constexpr Duration kProposeRetryDelay = milliseconds(50);
-// Targets wait for a second before they turn to another host, as do operators
-// for an order about a zone.
-constexpr Duration kAcknowledgeDeadline = milliseconds(800);
-// A host that has known of no quorum for longer does not wait for one.
-constexpr Duration kQuorumPatience = milliseconds(1000);
-constexpr Duration kAcknowledgeRetryAfter = milliseconds(100);
 
 // Customers in /v1/status.
 constexpr std::size_t kQuotasShown = 100;
@@ -87,11 +80,6 @@
   return WriteJson(document) + "\n";
 }
 
-std::string NewOrderId() {
-  std::random_device device;
-  return std::to_string(device()) + "-" + std::to_string(device());
-}
-
 }  // namespace
 
 void ControlHost::OnHttp(ExchangeId exchange, const HttpRequest& request) {
@@ -142,7 +130,7 @@
   } else if (const auto* change = std::get_if<ReplaceRouting>(&*call)) {
     OnReplace(exchange, *change);
   } else if (const auto* order = std::get_if<ZoneOrder>(&*call)) {
-    OnZoneOrder(exchange, *order);
+    OnZoneOrder(exchange, *order, request.sent_after);
   } else {
     OnReadRouting(exchange);
   }
@@ -222,72 +210,36 @@
       });
 }
 
-// Acknowledged once a quorum has stored it. The state of this host does not
-// tell whether a repeated order is still in force, so each one is proposed.
-void ControlHost::OnZoneOrder(ExchangeId exchange, const ZoneOrder& order) {
-  const Instant now = MonotonicNow();
-  const auto finish = [this, exchange, order,
-                       now](const std::optional<CommandResult>& result) {
-    const bool accepted = result && result->status == CommandStatus::kAccepted;
-    const bool stored =
-        accepted || (result && result->status == CommandStatus::kUnchanged);
-    const bool refused = result && result->status == CommandStatus::kConflict;
-    const char* outcome = accepted  ? "accepted"
-                          : stored  ? "unchanged"
-                          : refused ? "rejected"
-                                    : "undecided";
-    log_.Write(EventKind::kZoneOrder, {{"zone", order.zone},
-                                       {"evacuate", order.evacuate},
-                                       {"outcome", outcome},
-                                       {"after_ms", MonotonicNow() - now}});
-    metrics_.OnCall(order.evacuate ? "evacuate_zone" : "readmit_zone", outcome);
-    if (stored) {
-      metrics_.OnDecided(MonotonicNow() - now);
-      Answer(exchange, "{}");
-    } else if (refused) {
-      AnswerError(exchange, {ErrorKind::kBadRequest, result->detail, {}});
-    } else {
-      // Also if a leader of an earlier version does not know the command.
-      AnswerError(exchange,
-                  {ErrorKind::kNoQuorum, "no quorum of control hosts answered",
-                   kAcknowledgeRetryAfter});
-    }
-  };
-  if (!node_ || now - last_current_at_ > kQuorumPatience) {
-    finish(std::nullopt);
-    return;
-  }
-  ControlCommand command;
-  command.kind =
-      order.evacuate ? CommandKind::kEvacuate : CommandKind::kReadmit;
-  command.zone = order.zone;
-  command.change_id = NewOrderId();
-  ProposeUntilDecided(Encode(command), now + kAcknowledgeDeadline, finish);
-}
-
 // Retries are safe: the command carries its own version or id, so repeating it
 // after a lost reply changes nothing.
 void ControlHost::ProposeUntilDecided(const std::string& command,
                                       Instant give_up,
                                       const OnDecided& done) {
-  const Instant now = MonotonicNow();
-  if (now >= give_up) {
+  if (MonotonicNow() >= give_up) {
     done(std::nullopt);
     return;
   }
-  const auto retry = [this, command, give_up, done] {
-    loop_.After(kProposeRetryDelay, [this, command, give_up, done] {
-      ProposeUntilDecided(command, give_up, done);
-    });
-  };
-  const auto on_reply = [retry, done](const PeerResult& result) {
+  ProposeOnce(command, give_up,
+              [this, command, give_up,
+               done](const std::optional<CommandResult>& result) {
+                if (result) {
+                  done(result);
+                  return;
+                }
+                loop_.After(kProposeRetryDelay, [this, command, give_up, done] {
+                  ProposeUntilDecided(command, give_up, done);
+                });
+              });
+}
+
+void ControlHost::ProposeOnce(const std::string& command,
+                              Instant give_up,
+                              const OnDecided& done) {
+  const Instant now = MonotonicNow();
+  const auto on_reply = [done](const PeerResult& result) {
     const auto reply =
         result ? Decode<ProposeReply>(*result) : std::optional<ProposeReply>();
-    if (reply && reply->decided) {
-      done(reply->result);
-    } else {
-      retry();
-    }
+    done(reply && reply->decided ? std::optional(reply->result) : std::nullopt);
   };
   if (node_ && node_->IsLeaderWithQuorum(now)) {
     OnPropose(command, on_reply);
@@ -295,7 +247,7 @@
   }
   const std::string leader = LeaderAddress();
   if (leader.empty() || leader == settings_.peer().ToString()) {
-    retry();
+    done(std::nullopt);
     return;
   }
   peers_.Call(leader, kControlProposePath, command,
--- a/src/libsnipeworks/control_host_listeners.cpp
+++ b/src/libsnipeworks/control_host_listeners.cpp
@@ -23,7 +23,7 @@
       {[this](ExchangeId exchange, const HttpRequest& request) {
          OnHttp(exchange, request);
        },
-       [](ExchangeId) {},
+       [this](ExchangeId exchange) { zone_order_exchanges_.erase(exchange); },
        [this](const HttpRequest& head) {
          return NeededBodyBytes(head, names_, settings_.allow_faults());
        }},
--- a/src/libsnipeworks/error.cpp
+++ b/src/libsnipeworks/error.cpp
@@ -41,6 +41,8 @@
     ErrorRow{ErrorKind::kNoQuorum, "no-quorum", 503,
              ExecutionStatus::kMayHaveRun, true,
              "No quorum of control hosts answers"},
+    ErrorRow{ErrorKind::kOvertaken, "overtaken", 503, ExecutionStatus::kNotRun,
+             true, "A newer order may have replaced this one"},
     ErrorRow{ErrorKind::kKeyReused, "key-reused", 422, ExecutionStatus::kNotRun,
              false, "The idempotency key was used with another body"},
     ErrorRow{ErrorKind::kKeyExpired, "key-expired", 422,
--- a/src/libsnipeworks/event_loop.cpp
+++ b/src/libsnipeworks/event_loop.cpp
@@ -67,6 +67,12 @@
       static_cast<Impl*>(handle->data)->RunPosted();
     });
     wakeup_.data = this;
+    uv_prepare_init(&loop_, &poll_start_);
+    poll_start_.data = this;
+    uv_prepare_start(&poll_start_, [](uv_prepare_t* handle) {
+      auto* self = static_cast<Impl*>(handle->data);
+      self->previous_poll_at_ = std::exchange(self->poll_at_, MonotonicNow());
+    });
   }
 
   // Tasks that have not run may own handles of this loop, so they are destroyed
@@ -130,6 +136,11 @@
     });
   }
 
+  // An event that an earlier poll did not report happened after its start. The
+  // start of the current poll would be too late for events of a stop just
+  // before it.
+  Instant events_since() const { return previous_poll_at_; }
+
   uv_loop_t* loop() { return &loop_; }
 
  private:
@@ -146,6 +157,9 @@
 
   uv_loop_t loop_;
   uv_async_t wakeup_;
+  uv_prepare_t poll_start_{};
+  Instant poll_at_ = MonotonicNow();
+  Instant previous_poll_at_ = poll_at_;
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   Task after_batch_task_;
@@ -200,6 +214,10 @@
   impl_->AfterEventBatch(std::move(task));
 }
 
+Instant EventLoop::events_since() const {
+  return impl_->events_since();
+}
+
 uv_loop_s* EventLoop::raw() {
   return impl_->loop();
 }
--- a/src/libsnipeworks/http_listener.cpp
+++ b/src/libsnipeworks/http_listener.cpp
@@ -212,6 +212,7 @@
     connection->limits = &limits_;
     connection->handlers = &handlers_;
     connection->since = MonotonicNow();
+    connection->next_sent_after = loop_.events_since();
     connection->budget = &clients_.budget();
     connection->account = &connection->budget->Open(connection->since);
     connections_[connection->id()] = connection;
@@ -382,6 +383,7 @@
     HttpRequest request = std::move(connection.request);
     connection.request = HttpRequest{};
     request.connection_id = connection.id();
+    request.sent_after = connection.next_sent_after;
     const ExchangeId id = next_exchange_++;
     connection.exchange = id;
     exchanges_[id] = &connection;
@@ -394,6 +396,9 @@
         response.close || close_after_responses_ || !connection.keep_alive;
     std::string text = ResponseText(response, close, connection.is_head);
     connection.since = MonotonicNow();
+    if (connection.pipelined.empty()) {
+      connection.next_sent_after = connection.since;
+    }
     connection.DropRequest();
     Write(connection, std::move(text));
     if (connection.closing) {
--- a/src/libsnipeworks/http_listener_state.h
+++ b/src/libsnipeworks/http_listener_state.h
@@ -50,6 +50,7 @@
   int reject_status = 0;      ///< Status for a request that is not read.
   const char* reject_reason = nullptr;
   Instant since{};  ///< Start of the request, idle, sending or lingering time.
+  Instant next_sent_after{};  ///< HttpRequest::sent_after of the next request.
 
   ClientId id() const { return account->id(); }
   bool IsIdle() const { return exchange == 0 && !in_request && !lingering; }
--- a/src/libsnipeworks/http_listener_test.cpp
+++ b/src/libsnipeworks/http_listener_test.cpp
@@ -383,6 +383,50 @@
   EXPECT_EQ(disconnected.size(), 1U);
 }
 
+// A request that waits in the socket of a stopped process must not look new.
+TEST_F(Listeners, DateARequestBeforeAStopOfTheLoop) {
+  Instant connected{};
+  RunWithCaller({}, [&](std::uint16_t port) {
+    Post([] { std::this_thread::sleep_for(milliseconds(200)); });
+    std::this_thread::sleep_for(milliseconds(20));
+    const Socket caller(port);
+    connected = MonotonicNow();
+    caller.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.ReadUntil("hello");
+  });
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_LE(requests[0].sent_after, connected);
+}
+
+TEST_F(Listeners, DateARequestAfterTheLastResponseOnItsConnection) {
+  std::vector<Instant> sent;
+  RunWithCaller({}, [&](std::uint16_t port) {
+    const Socket caller(port);
+    for (int i = 0; i < 2; ++i) {
+      std::this_thread::sleep_for(milliseconds(50));
+      sent.push_back(MonotonicNow());
+      caller.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+      caller.ReadUntil("hello");
+    }
+  });
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_LE(requests[0].sent_after, sent[0]);
+  EXPECT_GE(requests[1].sent_after, sent[0]);
+  EXPECT_LE(requests[1].sent_after, sent[1]);
+}
+
+TEST_F(Listeners, DatePipelinedRequestsAsTheFirstOne) {
+  RunWithCaller({}, [](std::uint16_t port) {
+    const Socket caller(port);
+    caller.Send(
+        "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.ReadUntil("hello");
+    caller.ReadUntil("hello");
+  });
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_EQ(requests[0].sent_after, requests[1].sent_after);
+}
+
 TEST_F(Listeners, SendNoBodyToHead) {
   response.declared_length = 99;
   RunWithCaller({}, [](std::uint16_t port) {
--- a/testsuite/mixed_versions/run.py
+++ b/testsuite/mixed_versions/run.py
@@ -6,7 +6,8 @@
 this one again, under searches, orders and changes of the routes. Departures that this version has
 recorded outlive all of it, also a compaction of the log by a host of the previous version. An entry
 host of this version counts each shard once that a document names twice, whichever version its
-control hosts have and wherever the document was stored."""
+control hosts have and wherever the document was stored. Orders about zones are acknowledged by hosts
+of either version, whichever version leads, and all hosts then agree on the zones."""
 
 import json
 import os
@@ -148,6 +149,23 @@
         check(not any(faults), f"{text}: {faults}")
         check(all(call.status == 200 for call in calls), f"{text}: all are served")
 
+    def check_zone_orders(text):
+        """Each host takes an order and another one its opposite; one zone stays evacuated."""
+        def agree(zones):
+            return all([entry["zone"] for entry in status_of(address).get("evacuated_zones", [])]
+                       == zones for address in control)
+
+        def order(address, name, what):
+            wait_for(f"{text}: {what} is acknowledged", lambda: http(
+                "POST", f"{address}:8000", f"/v1/zones/{name}/{what}", timeout=1)[0] == 200, 5)
+
+        order(control[0], "stays", "evacuate")
+        for i, address in enumerate(control):
+            order(address, "other", "evacuate")
+            wait_for(f"{text}: hosts agree", lambda: agree(["other", "stays"]), 5)
+            order(control[(i + 1) % len(control)], "other", "readmit")
+            wait_for(f"{text}: hosts agree", lambda: agree(["stays"]), 5)
+
     # A document that names shards twice, at control hosts of either version.
     replace("entry-1", programs)
     search = deployment.routes()[0]
@@ -162,6 +180,7 @@
                           (previous, "the previous version on stores of this one")):
         for i in range(len(control)):
             replace(f"control-{i + 1}", version)
+            check_zone_orders(f"{text}, up to control-{i + 1}")
         replace("entry-1", programs)
         check_shards_count_once(text)
     change_routes(control[0])
@@ -171,7 +190,11 @@
     traffic = Traffic(deployment)
     replace("control-3", programs)
     if leader() == [2]:
-        replace("control-3", programs)  # A restart hands the lead on.
+        # A host that restarts within milliseconds leads again.
+        deployment.processes["control-3"].stop()
+        wait_for("another host leads", lambda: leader() in ([0], [1]), 10)
+        deployment.processes["control-3"].restart()
+        wait_for("control-3 follows the log again", is_settled, 20)
     check(leader() in ([0], [1]), f"a host of the previous version leads: {leader()}")
     check(targets["first"].report(control[2]) == 200, "a report is accepted")
     wait_for("the target is known", lambda: targets["first"].report(control[0]) == 200, 5)
