Do not take queued messages for contact with the leader

An entry host that reaches only this host takes old routes and evacuations for confirmed.

Cause: a follower counted its contact with the leader from when it read a message; after a stop it reads messages that are as old as the stop. DetectStall named this and only logged the stall.

Change: ConsensusNode::Receive takes the time after which the message arrived. It comes from EventLoop::events_since, which now looks back one poll further: first bytes may arrive before their connection is accepted.

Evidence: testsuite.woken_control_host fails on ("a host that lacks an acknowledged version is not current") and passes; the unit test Consensus.AMessageThatWasQueued* calls what did not exist before.

--- a/src/include/snipeworks/consensus_node.h
+++ b/src/include/snipeworks/consensus_node.h
@@ -127,7 +127,15 @@
     config_.seeds = std::move(seeds);
   }
 
-  void Receive(Instant now, const ConsensusMessage& message);
+  /// Takes a message that arrived after `arrived_after`, however late it is
+  /// read.
+  void Receive(Instant now,
+               const ConsensusMessage& message,
+               Instant arrived_after);
+  /// Takes a message that arrives now.
+  void Receive(Instant now, const ConsensusMessage& message) {
+    Receive(now, message, now);
+  }
   void Tick(Instant now);
 
   /// Appends a command if this host leads, and returns its index. The command
@@ -227,9 +235,13 @@
   void Send(const std::string& address, ConsensusMessage message);
   void RequestVotes(Instant now);
   void OnVoteRequest(Instant now, const ConsensusMessage& message);
-  void OnAppend(Instant now, const ConsensusMessage& message);
+  void OnAppend(Instant now,
+                const ConsensusMessage& message,
+                Instant arrived_after);
   void OnAppendReply(Instant now, const ConsensusMessage& message);
-  void OnSnapshot(Instant now, const ConsensusMessage& message);
+  void OnSnapshot(Instant now,
+                  const ConsensusMessage& message,
+                  Instant arrived_after);
   void OnJoin(Instant now, const ConsensusMessage& message);
   void ForwardJoin(const ConsensusMessage& message);
   void TrackJoiningMember(Instant now, const ConsensusMessage& message);
@@ -271,7 +283,7 @@
   LogIndex applied_ = 0;
   LogIndex term_start_index_ = 0;
   Instant election_deadline_{};
-  Instant last_leader_contact_{};
+  Instant last_leader_contact_{};  ///< When the last message may have arrived.
   Instant next_heartbeat_{};
   Instant next_vote_request_{};
   Instant next_join_{};
--- a/src/libsnipeworks/consensus_node.cpp
+++ b/src/libsnipeworks/consensus_node.cpp
@@ -318,7 +318,9 @@
   }
 }
 
-void ConsensusNode::Receive(Instant now, const ConsensusMessage& message) {
+void ConsensusNode::Receive(Instant now,
+                            const ConsensusMessage& message,
+                            Instant arrived_after) {
   if (failed_ || message.from == config_.host) {
     return;
   }
@@ -356,13 +358,13 @@
       CountVote(now, message);
       return;
     case ConsensusKind::kAppend:
-      OnAppend(now, message);
+      OnAppend(now, message, arrived_after);
       return;
     case ConsensusKind::kAppendReply:
       OnAppendReply(now, message);
       return;
     case ConsensusKind::kSnapshot:
-      OnSnapshot(now, message);
+      OnSnapshot(now, message, arrived_after);
       return;
     case ConsensusKind::kJoin:
     case ConsensusKind::kForwardedJoin:
--- a/src/libsnipeworks/consensus_node_test.cpp
+++ b/src/libsnipeworks/consensus_node_test.cpp
@@ -116,6 +116,32 @@
   cluster.ExpectAllAcknowledged(cluster.hosts[0]);
 }
 
+// A host that was stopped reads messages from before the stop when it wakes.
+TEST(Consensus, AMessageThatWasQueuedDoesNotMakeAHostCurrent) {
+  FakeCluster cluster(7);
+  const FakeHost& leader = *cluster.Leader();
+  FakeHost& follower = cluster.Leader() == &cluster.hosts[0] ? cluster.hosts[1]
+                                                             : cluster.hosts[0];
+  cluster.Run(seconds(1));
+  ASSERT_TRUE(follower.node->IsCurrent(cluster.now));
+  ConsensusMessage heartbeat;
+  heartbeat.kind = ConsensusKind::kAppend;
+  heartbeat.cluster = leader.node->cluster();
+  heartbeat.from = leader.name;
+  heartbeat.from_disk = leader.node->disk();
+  heartbeat.from_address = leader.name;
+  heartbeat.term = leader.node->term();
+  heartbeat.index = leader.node->last_index();
+  heartbeat.index_term = heartbeat.term;
+  heartbeat.commit = leader.node->commit_index();
+  const Instant stopped = cluster.now;
+  const Instant woken = stopped + seconds(4);
+  follower.node->Receive(woken, heartbeat, stopped);
+  EXPECT_FALSE(follower.node->IsCurrent(woken));
+  follower.node->Receive(woken, heartbeat, woken - milliseconds(60));
+  EXPECT_TRUE(follower.node->IsCurrent(woken));
+}
+
 TEST(Consensus, AHostReturningFromAPartitionDoesNotDisruptTheLeader) {
   FakeCluster cluster(8);
   const Term before = cluster.Leader()->node->term();
--- a/src/libsnipeworks/consensus_replication.cpp
+++ b/src/libsnipeworks/consensus_replication.cpp
@@ -29,7 +29,9 @@
 
 }  // namespace
 
-void ConsensusNode::OnAppend(Instant now, const ConsensusMessage& message) {
+void ConsensusNode::OnAppend(Instant now,
+                             const ConsensusMessage& message,
+                             Instant arrived_after) {
   if (message.term < vote_.term) {
     ReplyTo(message, ConsensusKind::kAppendReply, false, last_index());
     return;
@@ -38,7 +40,7 @@
   if (failed_) {
     return;
   }
-  last_leader_contact_ = now;
+  last_leader_contact_ = std::max(last_leader_contact_, arrived_after);
   has_seen_leader_ = true;
   ResetElectionTimer(now);
   const bool in_snapshot = message.index < snapshot_.index;
@@ -74,12 +76,14 @@
   ReplyTo(message, ConsensusKind::kAppendReply, true, match_index);
 }
 
-void ConsensusNode::OnSnapshot(Instant now, const ConsensusMessage& message) {
+void ConsensusNode::OnSnapshot(Instant now,
+                               const ConsensusMessage& message,
+                               Instant arrived_after) {
   if (message.term < vote_.term || message.snapshot.size() != 1) {
     return;
   }
   BecomeFollower(now, message.term, message.from);
-  last_leader_contact_ = now;
+  last_leader_contact_ = std::max(last_leader_contact_, arrived_after);
   has_seen_leader_ = true;
   ResetElectionTimer(now);
   const LogSnapshot& received = message.snapshot.front();
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -241,8 +241,6 @@
   }
 }
 
-// After a stall, the messages queued in the sockets are as old as the stall and
-// must not make this host appear current.
 void ControlHost::DetectStall() {
   const Instant now = MonotonicNow();
   if (now - last_iteration_at_ > kStallThreshold) {
@@ -303,7 +301,9 @@
   if (path == kControlConsensusPath) {
     if (auto message = Decode<ConsensusMessage>(payload)) {
       if (node_) {
-        node_->Receive(MonotonicNow(), *message);
+        // Messages that were queued while this process was stopped must not
+        // make it appear current.
+        node_->Receive(MonotonicNow(), *message, loop_.events_since());
       }
     }
     reply(std::string());
--- a/src/libsnipeworks/event_loop.cpp
+++ b/src/libsnipeworks/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "snipeworks/event_loop.h"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -70,8 +71,9 @@
     uv_prepare_init(&loop_, &poll_start_);
     poll_start_.data = this;
     uv_prepare_start(&poll_start_, [](uv_prepare_t* handle) {
-      auto* self = static_cast<Impl*>(handle->data);
-      self->previous_poll_at_ = std::exchange(self->poll_at_, MonotonicNow());
+      auto& starts = static_cast<Impl*>(handle->data)->poll_starts_;
+      std::shift_left(starts.begin(), starts.end(), 1);
+      starts.back() = MonotonicNow();
     });
   }
 
@@ -136,10 +138,10 @@
     });
   }
 
-  // An event that an earlier poll did not report happened after its start. The
-  // start of the current poll would be too late for events of a stop just
-  // before it.
-  Instant events_since() const { return previous_poll_at_; }
+  // What an earlier poll did not report happened after the start of that poll.
+  // The first bytes of a connection may have come before it was accepted, one
+  // poll ago.
+  Instant events_since() const { return poll_starts_.front(); }
 
   uv_loop_t* loop() { return &loop_; }
 
@@ -158,8 +160,9 @@
   uv_loop_t loop_;
   uv_async_t wakeup_;
   uv_prepare_t poll_start_{};
-  Instant poll_at_ = MonotonicNow();
-  Instant previous_poll_at_ = poll_at_;
+  /// Of this poll and the two before it, oldest first.
+  std::array<Instant, 3> poll_starts_ = {MonotonicNow(), MonotonicNow(),
+                                         MonotonicNow()};
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   Task after_batch_task_;
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -25,6 +25,12 @@
     ("connection-age", LIB + "http_listener.cpp",
      "connection->next_sent_after = loop_.events_since();",
      "connection->next_sent_after = connection->since;", "Listeners.DateARequestBefore*"),
+    ("contact-age", LIB + "consensus_replication.cpp",
+     "last_leader_contact_ = std::max(last_leader_contact_, arrived_after);\n  has_seen_leader_ = true;\n"
+     "  ResetElectionTimer(now);\n  const bool in_snapshot",
+     "last_leader_contact_ = now;\n  has_seen_leader_ = true;\n"
+     "  ResetElectionTimer(now);\n  const bool in_snapshot",
+     "Consensus.AMessageThatWasQueued*"),
     ("key-kept", LIB + "forward_message.cpp", "(identity.strip_authorization &&", "(false &&",
      "CustomerHeaders.KeepTheKey*"),
     ("one-key", LIB + "request_authorization.cpp", "if (authorization != nullptr) {",
--- /dev/null
+++ b/testsuite/woken_control_host/run.py
@@ -0,0 +1,59 @@
+"""A control host that was stopped, and is cut off from the others when it wakes, never says that it
+is current while it lacks a version that was acknowledged meanwhile.
+
+Guards against messages of the leader that were queued in sockets during the stop and are taken for
+contact with it."""
+
+import json
+import signal
+import time
+
+import forward
+from fleet import check, http, wait_for
+
+ROUNDS = 3
+STOP_S = 3.0
+WATCH_S = 1.0  # Contact with a leader counts for less.
+
+
+def case(deployment):
+    control = deployment.controls
+
+    def status_of(i):
+        status, _, body = http("GET", f"{control[i]}:8000", "/v1/status", timeout=1)
+        return json.loads(body) if status == 200 else {}
+
+    def set_cut(stopped, cut):
+        for i, address in enumerate(control):
+            if i != stopped:
+                check(http("POST", f"{address}:8000", "/v1/faults", {
+                    "address": f"{control[stopped]}:7000", "cut": cut})[0] == 200, "a cut is set")
+
+    def all_current():
+        statuses = [status_of(i) for i in range(len(control))]
+        return all(status.get("current") for status in statuses) and len(
+            {status["commit"] for status in statuses}) == 1
+
+    for i in range(ROUNDS):
+        wait_for("all control hosts are current", all_current, 10)
+        leader = next(i for i in range(len(control)) if status_of(i)["role"] == "leader")
+        stopped = (leader + 1 + i % 2) % len(control)
+        process = deployment.processes[f"control-{stopped + 1}"]
+        before = status_of(stopped)["commit"]
+        process.send(signal.SIGSTOP)
+        time.sleep(0.5)  # Some heartbeats are queued.
+        set_cut(stopped, True)
+        check(deployment.replace_routing(deployment.routes(), control[leader]) == 200,
+              "a version is acknowledged")
+        time.sleep(STOP_S)
+        process.send(signal.SIGCONT)
+        end = time.monotonic() + WATCH_S
+        while time.monotonic() < end:
+            status = status_of(stopped)
+            check(status["commit"] == before, "the host lacks the version")
+            check(not status["current"], "a host that lacks an acknowledged version is not current")
+        set_cut(stopped, False)
+    wait_for("all control hosts are current", all_current, 10)
+
+
+forward.run_case(case, network=73, control_settings={"allow_faults": True})
