Count a seed of the control hosts once

What callers saw: nothing yet. Settings that name a control host twice made it two founding voters: of three hosts, four votes with three needed, two of them its own. Its loss leaves no quorum.

Cause: the same as with repeated shards, a set that is kept as a list.

Change: Seeds gives each peer address once. WithoutRepetitions serves it and GroupSet.

--- a/src/include/snipeworks/text.h
+++ b/src/include/snipeworks/text.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -16,6 +17,9 @@
 /// by U+FFFD.
 std::string WriteJson(const nlohmann::json& value);
 
+/// `names` without every mention of a name but the first.
+std::vector<std::string> WithoutRepetitions(std::vector<std::string> names);
+
 }  // namespace snipeworks
 
 #endif  // SNIPEWORKS_TEXT_H_
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -12,6 +12,7 @@
 #include "snipeworks/caller_api.h"
 #include "snipeworks/compression.h"
 #include "snipeworks/entry_messages.h"
+#include "snipeworks/text.h"
 
 namespace snipeworks {
 
@@ -42,6 +43,7 @@
   return Address{seed.ip, settings.peer().port}.ToString();
 }
 
+// Each of them is one founding voter, however often the settings name it.
 std::vector<std::string> Seeds(const HostSettings& settings) {
   std::vector<std::string> seeds;
   for (const PeerHost& host : settings.control_hosts()) {
@@ -50,7 +52,7 @@
   for (const Address& seed : settings.control_seeds()) {
     seeds.push_back(PeerAddressOf(seed, settings));
   }
-  return seeds;
+  return WithoutRepetitions(std::move(seeds));
 }
 
 ConsensusConfig ConfigFor(const HostSettings& settings) {
--- a/src/libsnipeworks/text.cpp
+++ b/src/libsnipeworks/text.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <unordered_set>
 
 #include <nlohmann/json.hpp>
 
@@ -69,4 +70,12 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::vector<std::string> WithoutRepetitions(std::vector<std::string> names) {
+  std::unordered_set<std::string> seen;
+  std::erase_if(names, [&](const std::string& name) {
+    return !seen.insert(name).second;
+  });
+  return names;
+}
+
 }  // namespace snipeworks
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -18,7 +18,7 @@
     ("customer-set-by-host", LIB + "forward_message.cpp",
      "        SameHeaderName(header.name, names.customer) ||\n", "",
      "CustomerHeaders.ReplaceThose*"),
-    ("group-set", LIB + "group_set.cpp", "return !seen.insert(name).second;",
+    ("group-set", LIB + "text.cpp", "return !seen.insert(name).second;",
      "return false && !seen.insert(name).second;", "GroupSets.*:RepeatedShards.*"),
     ("order-base", LIB + "zone_order.cpp", "newest && newest->kind != order.kind &&",
      "false && newest->kind != order.kind &&", "LateZoneOrders.AreOvertakenByALater*"),
