--- a/src/libsnipeworks/zone_order.cpp
+++ b/src/libsnipeworks/zone_order.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace snipeworks {
 
@@ -34,8 +33,8 @@
 std::optional<ControlCommand> NewestZoneOrder(
     std::string_view zone,
     const std::vector<std::string_view>& commands) {
-  for (const std::string_view bytes : std::views::reverse(commands)) {
-    if (auto order = DecodeOrderAbout(zone, bytes)) {
+  for (auto bytes = commands.rbegin(); bytes != commands.rend(); ++bytes) {
+    if (auto order = DecodeOrderAbout(zone, *bytes)) {
       return order;
     }
   }
