Do not count the time of a stop as time without a quorum

What callers saw: a control host that had been stopped for a second or more refused leaves of targets and orders about zones with 503 for about 50 ms after it woke.

Cause: such calls are refused at once when the host has known of no quorum for a second, and that included the time of the stop.

Change: time in which the process does not run is left out (TimeWithoutQuorum).

--- a/src/include/snipeworks/control_host.h
+++ b/src/include/snipeworks/control_host.h
@@ -123,6 +123,10 @@
   void Tick();
   void AfterEventBatch();
   void DetectStall();
+  /// For how long the process did not run before the current iteration.
+  Duration StalledFor(Instant now) const;
+  /// For how long this host has known of no quorum while it ran.
+  Duration TimeWithoutQuorum(Instant now) const;
   void AnswerAppliedProposals();
   void RejectLostProposals();
   void LogStateChanges();
@@ -157,7 +161,8 @@
   std::uint64_t saved_targets_digest_ = 0;  ///< See ServingDigest.
   Instant targets_saved_at_{};
   Instant next_reopen_at_{};
-  Instant last_current_at_{};  ///< When this host last knew of a quorum.
+  /// When this host last knew of a quorum, later by the stalls since then.
+  Instant last_current_at_{};
   Instant last_iteration_at_{};
   std::string logged_leader_;
   bool logged_current_ = false;
--- a/src/libsnipeworks/control_host.cpp
+++ b/src/libsnipeworks/control_host.cpp
@@ -248,9 +248,20 @@
   if (now - last_iteration_at_ > kStallThreshold) {
     log_.Write(EventKind::kStalled, {{"for_ms", now - last_iteration_at_}});
   }
+  last_current_at_ += StalledFor(now);
   last_iteration_at_ = now;
 }
 
+// The loop iterates at least once a tick while the process runs.
+Duration ControlHost::StalledFor(Instant now) const {
+  return std::max(Duration{}, now - last_iteration_at_ - kTickInterval);
+}
+
+// A host that wakes cannot have heard from a leader while it was stopped.
+Duration ControlHost::TimeWithoutQuorum(Instant now) const {
+  return now - last_current_at_ - StalledFor(now);
+}
+
 void ControlHost::Bootstrap(std::function<void(std::string)> done) {
   struct Probe {
     std::size_t pending = 0;
--- a/src/libsnipeworks/control_host_calls.cpp
+++ b/src/libsnipeworks/control_host_calls.cpp
@@ -163,7 +163,7 @@
                 {ErrorKind::kNoQuorum, "no quorum of control hosts answered",
                  kAcknowledgeRetryAfter});
   };
-  if (!node_ || now - last_current_at_ > kQuorumPatience) {
+  if (!node_ || TimeWithoutQuorum(now) > kQuorumPatience) {
     refuse();
     return;
   }
--- a/src/libsnipeworks/control_host_timeouts.h
+++ b/src/libsnipeworks/control_host_timeouts.h
@@ -10,7 +10,8 @@
 // Targets wait for a second before they turn to another host, as do operators
 // for an order about a zone.
 inline constexpr Duration kAcknowledgeDeadline = std::chrono::milliseconds(800);
-// A host that has known of no quorum for longer does not wait for one.
+// A host that has known of no quorum for longer, while it ran, does not wait
+// for one.
 inline constexpr Duration kQuorumPatience = std::chrono::milliseconds(1000);
 inline constexpr Duration kAcknowledgeRetryAfter =
     std::chrono::milliseconds(100);
--- a/src/libsnipeworks/control_host_zone_orders.cpp
+++ b/src/libsnipeworks/control_host_zone_orders.cpp
@@ -78,7 +78,7 @@
       order.evacuate ? CommandKind::kEvacuate : CommandKind::kReadmit;
   pending->command.zone = order.zone;
   pending->command.change_id = NewOrderId();
-  if (!node_ || now - last_current_at_ > kQuorumPatience) {
+  if (!node_ || TimeWithoutQuorum(now) > kQuorumPatience) {
     FinishZoneOrder(*pending, std::nullopt);
     return;
   }
