--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -20,15 +20,15 @@
      "CustomerHeaders.ReplaceThose*"),
     ("group-set", LIB + "text.cpp", "return !seen.insert(name).second;",
      "return false && !seen.insert(name).second;", "GroupSets.*:RepeatedShards.*"),
-    ("order-base", LIB + "zone_order.cpp", "newest && newest->kind != order.kind &&",
-     "false && newest->kind != order.kind &&", "LateZoneOrders.AreOvertakenByALater*"),
+    ("order-base", LIB + "zone_order.cpp", "return !orders.empty() &&",
+     "return false && !orders.empty() &&", "LateZoneOrders.AreOvertakenByALater*"),
     ("connection-age", LIB + "http_listener.cpp",
      "connection->next_sent_after = loop_.events_since();",
      "connection->next_sent_after = connection->since;", "Listeners.DateARequestBefore*"),
     ("contact-age", LIB + "consensus_replication.cpp",
      "last_leader_contact_ = std::max(last_leader_contact_, arrived_after);\n  has_seen_leader_ = true;\n"
      "  ResetElectionTimer(now);\n  const bool in_snapshot",
-     "last_leader_contact_ = now;\n  has_seen_leader_ = true;\n"
+     "last_leader_contact_ = std::max(arrived_after, now);\n  has_seen_leader_ = true;\n"
      "  ResetElectionTimer(now);\n  const bool in_snapshot",
      "Consensus.AMessageThatWasQueued*"),
     ("key-kept", LIB + "forward_message.cpp", "(identity.strip_authorization &&", "(false &&",
