--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -401,9 +401,9 @@
     return f"{random.randrange(16 ** 16):016x}"
 
 
-def main(case, folder, **options):
+def main(case, folder, record_name="record.txt", **options):
     """Runs `case(deployment, trouble)`, which returns the breaks found; exits as asked."""
-    record = Recorder(os.path.join(folder, "record.txt"))
+    record = Recorder(os.path.join(folder, record_name))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"the case begins, with{'' if trouble else 'out'} the disruption")
 
