Confirm the routing after a suspension before requests are handled

Cause: nothing limited for how long a host may trust its routing without word of a control host. A host that wakes finds requests beside the news of the version that it has missed, and reads whichever comes first; hedges of requests from before the stop are overdue and sent at once.

Change: after a suspension requests wait, for 250 ms or a quarter of the caller's time at most, until a control host has replied to a call sent after it. Attempts beyond the first are sent only within 3 s of a confirmed call, the shortest time that deployments give a version to be in force. Requests in flight that a new version does not let run again are not sent again. Calls that failed by the suspension itself are repeated at once, and all known control hosts are called.

--- a/src/include/snipeworks/control_feed.h
+++ b/src/include/snipeworks/control_feed.h
@@ -42,6 +42,8 @@
     std::function<void(const std::vector<RelayHost>&)> on_relay_hosts;
     /// All zones that are evacuated now.
     std::function<void(const std::vector<EvacuatedZone>&)> on_evacuations;
+    /// A reply has been handled: the freshness of the routing may be another.
+    std::function<void()> on_reply;
   };
 
   /// `seeds` are peer addresses of control hosts that may be up.
@@ -75,6 +77,9 @@
   /// quorum answered recently.
   bool quorum_reachable(Instant now) const;
   RoutingFreshness routing_freshness(Instant now) const;
+  /// See RoutingContact::RepeatableUntil. In the past while a newer version is
+  /// known that has yet to arrive.
+  Instant repeatable_until() const;
   /// True if a control host of this zone answered recently.
   bool zone_reachable(Instant now) const;
   /// The peer addresses of the control hosts that are known.
--- a/src/include/snipeworks/entry_metrics.h
+++ b/src/include/snipeworks/entry_metrics.h
@@ -41,6 +41,10 @@
   std::uint64_t unauthenticated = 0;  ///< Requests refused for their keys.
   /// Requests refused as a newer routing could have their keys.
   std::uint64_t unconfirmed_keys = 0;
+  /// Requests that waited for the routing to be confirmed.
+  std::uint64_t held = 0;
+  /// Requests may run again where the routing in force allows it.
+  bool may_repeat = false;
   std::uint64_t log_lines = 0;
   std::uint64_t log_lines_dropped = 0;
   std::size_t control_hosts = 0;      ///< That answered recently.
--- a/src/include/snipeworks/event_log.h
+++ b/src/include/snipeworks/event_log.h
@@ -25,6 +25,7 @@
   kControlLost,
   kControlRegained,
   kRoutingInForce,
+  kRoutingConfirmed,
   kTargetChanged,
   kTargetsRestored,
   kFleetSize,
--- a/src/include/snipeworks/forward_host.h
+++ b/src/include/snipeworks/forward_host.h
@@ -2,6 +2,7 @@
 #define SNIPEWORKS_FORWARD_HOST_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,9 +66,31 @@
     std::optional<RelayId> relay;
     std::int64_t attempts = 0;  ///< Of a part, before it was relayed.
     QuotaDecision quota;        ///< What the customer was charged here.
+    /// By which its route is found; empty if `origin` is not.
+    std::string http_host;
+    std::string path;
+  };
+  /// A request that waits until the routing is confirmed after a suspension.
+  struct HeldRequest {
+    HttpRequest request;
+    Instant arrived{};
   };
   Result<void> StartListeners();
   void OnRequest(ExchangeId exchange, HttpRequest request);
+  /// Keeps a request until a control host has confirmed the routing, but not
+  /// for long.
+  void Hold(Instant now, ExchangeId exchange, HttpRequest request);
+  /// Stops waiting with one request, or with all of them.
+  void Release(ExchangeId exchange);
+  void ReleaseAll(Instant now);
+  void OnControlReply();
+  /// Decides on a request by the routing in force.
+  void Admit(ExchangeId exchange, HttpRequest request, Instant arrived);
+  /// True if what the routing in force says may be repeated still may be.
+  bool MayRepeat(Instant now) const { return now < feed_.repeatable_until(); }
+  /// Requests in flight that the routing in force does not let run again are
+  /// not sent any more.
+  void ForbidRepeatsByRouting();
   /// Charges the customer of a request; rejects the request and returns false
   /// if the quota does not admit it.
   bool Charge(Instant now, const HttpRequest& request, RunningRequest& running);
@@ -154,6 +177,7 @@
   std::unique_ptr<HttpListener> metrics_listener_;
   std::unique_ptr<HttpListener> relay_listener_;
   std::unordered_map<RequestId, RunningRequest> running_;
+  std::map<ExchangeId, HeldRequest> held_;
   std::unordered_map<ExchangeId, RequestId> requests_by_exchange_;
   /// Of relay_listener_.
   std::unordered_map<ExchangeId, RequestId> requests_by_relayed_exchange_;
@@ -165,6 +189,8 @@
   std::uint64_t unauthenticated_ = 0;  ///< Requests refused for their keys.
   /// Requests refused as a newer routing could have their keys.
   std::uint64_t unconfirmed_keys_ = 0;
+  /// Requests that waited for the routing to be confirmed.
+  std::uint64_t requests_held_ = 0;
   Instant started_{};
   Instant last_event_batch_at_{};
   Instant next_traffic_log_{};
--- a/src/include/snipeworks/routing_contact.h
+++ b/src/include/snipeworks/routing_contact.h
@@ -24,7 +24,7 @@
 class RoutingContact {
  public:
   /// A control host in contact with a leader with a quorum has replied to a
-  /// call sent at `sent`.
+  /// call sent at `sent`, and knows no newer version than the one in force.
   void OnCurrentReply(Instant sent, Instant now);
 
   /// Must be called several times a second while the host runs.
@@ -38,6 +38,11 @@
   /// here.
   RoutingFreshness Freshness(Instant now, bool newer_seen) const;
 
+  /// Until then no accepted version has to be in force that is newer than this
+  /// host's: a request may be sent again if the routing in force allows it. In
+  /// the past if no reply has come yet.
+  Instant RepeatableUntil() const;
+
  private:
   /// When the last suspension ended, also if OnActive has not been called since
   /// then; nullopt if there was none.
--- a/src/include/snipeworks/search_controller.h
+++ b/src/include/snipeworks/search_controller.h
@@ -191,6 +191,11 @@
   /// The most attempts of one part of a running search that may have run, or
   /// nothing if the search has ended.
   std::optional<std::int64_t> MostAttempts(RequestId request) const;
+  /// Sends attempts beyond the first only until `until`, but for those that
+  /// replace attempts that were not run. Without this call there is no limit.
+  void RepeatUntil(Instant until);
+  /// Sends no attempt for a running search any more if one may have run.
+  void ForbidRepeats(RequestId request);
   /// Charges one extra attempt for each part of `plan`, which another host is
   /// to run once more. Charges nothing and returns false if the budget of any
   /// is exhausted.
--- a/src/include/snipeworks/search_run.h
+++ b/src/include/snipeworks/search_run.h
@@ -63,6 +63,8 @@
   void Pin(std::shared_ptr<const PinnedSnapshot> snapshot);
 
   const SearchRequest& request() const { return request_; }
+  /// The request turns out to be one that may run at most once.
+  void ForbidRepeats() { request_.repeatable = false; }
   const GroupPolicy& policy() const { return policy_; }
   const PinnedSnapshot& snapshot() const { return *snapshot_; }
   Fingerprint fingerprint() const { return fingerprint_; }
--- a/src/libsnipeworks/control_feed.cpp
+++ b/src/libsnipeworks/control_feed.cpp
@@ -95,6 +95,12 @@
                                     newest_seen_version_ > routing_.version);
 }
 
+Instant ControlFeed::repeatable_until() const {
+  return newest_seen_version_ > routing_.version
+             ? Instant{}
+             : routing_contact_.RepeatableUntil();
+}
+
 bool ControlFeed::zone_reachable(Instant now) const {
   return std::ranges::any_of(sources_, [&](const auto& entry) {
     const Source& source = entry.second;
@@ -105,10 +111,12 @@
 
 // Prefers control hosts that answer, then those in touch with a quorum, then
 // those of this zone. The rest are polled occasionally, so that a host that
-// recovers is found.
+// recovers is found, and all at once after a suspension: requests wait for the
+// first that replies.
 void ControlFeed::Tick() {
   const Instant now = MonotonicNow();
   routing_contact_.OnActive(now);
+  const bool resuming = routing_contact_.IsResuming(now);
   std::vector<std::pair<int, std::string>> ranked;
   for (const auto& [address, source] : sources_) {
     const bool connected =
@@ -123,7 +131,7 @@
   }
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     Source& source = sources_[ranked[i].second];
-    const bool spare = i >= kActiveWatches;
+    const bool spare = i >= kActiveWatches && !resuming;
     const Duration pause = spare ? kSpareWatchInterval : Duration{};
     if (!source.call_in_flight && now >= source.next_call_at + pause) {
       Watch(ranked[i].second, source, i == 0);
@@ -210,8 +218,9 @@
   request.epoch = source.epoch;
   request.serial = source.serial;
   const Instant now = MonotonicNow();
+  const bool resuming = routing_contact_.IsResuming(now);
   const bool overdue = newest_seen_version_ > routing_.version &&
-                       now - newest_seen_at_ > kRoutingTimeout;
+                       (resuming || now - newest_seen_at_ > kRoutingTimeout);
   request.routing_version = routing_.version;
   request.newest_seen_version = newest_seen_version_;
   request.wants_routing = preferred || overdue || routing_.version == 0;
@@ -221,7 +230,7 @@
   request.condition_serial = source.condition_serial;
   request.evidence_serial = source.evidence_serial;
   // A control host replies at once if it judges its contact otherwise.
-  request.known_current = source.current && !routing_contact_.IsResuming(now);
+  request.known_current = source.current && !resuming;
   request.relay_address = relay_address_;
   request.relay_digest = relay_digest_;
   request.evacuation_index = evacuation_index_;
@@ -242,7 +251,9 @@
   const auto reply =
       result ? Decode<WatchReply>(*result) : std::optional<WatchReply>();
   if (!reply) {
-    source.next_call_at = now + kRetryDelay;
+    // Calls from before a suspension have failed by its length alone.
+    const bool resuming = routing_contact_.IsResuming(now);
+    source.next_call_at = now + (resuming ? Duration{} : kRetryDelay);
     if (std::exchange(source.answered, false)) {
       log_.Write(
           EventKind::kControlLost,
@@ -258,9 +269,6 @@
   source.last_answer_at = now;
   source.zone = reply->zone;
   source.current = reply->current;
-  if (reply->current) {
-    routing_contact_.OnCurrentReply(sent, now);
-  }
   // A restarted control host knows only what it is sent: a late report must not
   // bring back a target that has drained.
   if (source.epoch != 0 && source.epoch != reply->epoch) {
@@ -296,6 +304,9 @@
   }
   synced_ = true;
   ApplyRouting(*reply);
+  if (reply->current && newest_seen_version_ <= routing_.version) {
+    routing_contact_.OnCurrentReply(sent, now);
+  }
   CheckDigest(now, source, *reply);
   if (!reply->control_hosts.empty()) {
     control_digest_ = reply->control_digest;
@@ -309,6 +320,7 @@
     fleet_size_ = reply->entry_hosts;
     handlers_.on_fleet_size(fleet_size_);
   }
+  handlers_.on_reply();
   Tick();
 }
 
--- a/src/libsnipeworks/entry_metrics.cpp
+++ b/src/libsnipeworks/entry_metrics.cpp
@@ -149,6 +149,13 @@
       AddGauge(registry,
                "snipeworks_requests_key_unconfirmed",
                "Requests refused as newer keys may not be known here");
+  Gauge& held = AddGauge(registry,
+                         "snipeworks_requests_held",
+                         "Requests that waited after a suspension of the host");
+  Gauge& may_repeat =
+      AddGauge(registry,
+               "snipeworks_repeats_allowed",
+               "1 while the routing is recent enough to repeat requests");
   Gauge& log_lines =
       AddGauge(registry, "snipeworks_log_lines", "Event lines written");
   Gauge& log_lines_dropped = AddGauge(registry,
@@ -277,6 +284,8 @@
   impl_->customers.Set(static_cast<double>(gauges.customers));
   impl_->unauthenticated.Set(static_cast<double>(gauges.unauthenticated));
   impl_->unconfirmed_keys.Set(static_cast<double>(gauges.unconfirmed_keys));
+  impl_->held.Set(static_cast<double>(gauges.held));
+  impl_->may_repeat.Set(gauges.may_repeat ? 1.0 : 0.0);
   impl_->log_lines.Set(static_cast<double>(gauges.log_lines));
   impl_->log_lines_dropped.Set(static_cast<double>(gauges.log_lines_dropped));
   impl_->control_hosts.Set(static_cast<double>(gauges.control_hosts));
--- a/src/libsnipeworks/event_log.cpp
+++ b/src/libsnipeworks/event_log.cpp
@@ -44,6 +44,8 @@
              "a control host answers"},
     EventRow{EventKind::kRoutingInForce, "routing_in_force", true,
              "a version of the routes is in force on this host"},
+    EventRow{EventKind::kRoutingConfirmed, "routing_confirmed", true,
+             "requests that had waited since the host was suspended go on"},
     EventRow{EventKind::kTargetChanged, "target_changed", false,
              "what the host believes of a target has changed"},
     EventRow{EventKind::kTargetsRestored, "targets_restored", true,
--- a/src/libsnipeworks/forward_host.cpp
+++ b/src/libsnipeworks/forward_host.cpp
@@ -107,7 +107,8 @@
              },
              [this](const std::vector<EvacuatedZone>& zones) {
                OnEvacuations(zones);
-             }}),
+             },
+             [this] { OnControlReply(); }}),
       quotas_(loop,
               peers_,
               log_,
@@ -140,6 +141,8 @@
     return started;
   }
   feed_.OfferRelay(settings_.peer().ToString());
+  // Nothing is known of the routing yet.
+  searches_.RepeatUntil(feed_.repeatable_until());
   started_ = MonotonicNow();
   last_event_batch_at_ = started_;
   loop_.AfterEventBatch([this] { AfterEventBatch(); });
@@ -189,6 +192,9 @@
     for (const auto& [exchange, id] : open_exchanges) {
       front_->SendResponse(exchange, response);
     }
+    for (const auto& [exchange, held] : std::exchange(held_, {})) {
+      front_->SendResponse(exchange, response);
+    }
     const auto open_relayed = requests_by_relayed_exchange_;
     for (const auto& [exchange, id] : open_relayed) {
       relay_listener_->SendResponse(exchange,
--- a/src/libsnipeworks/forward_host_feed.cpp
+++ b/src/libsnipeworks/forward_host_feed.cpp
@@ -114,6 +114,7 @@
   planner_.SetRouting(
       {routing.version, routing.routes, routing.groups, routing.limits, {}});
   quotas_.SetQuotas(routing);
+  ForbidRepeatsByRouting();
 }
 
 }  // namespace snipeworks
--- a/src/libsnipeworks/forward_host_listeners.cpp
+++ b/src/libsnipeworks/forward_host_listeners.cpp
@@ -113,9 +113,13 @@
   return started;
 }
 
+// A host that was suspended may not know the route yet: the body is read for
+// the time until it does.
 bool ForwardHost::HasRoute(const HttpRequest& head) const {
   return planner_.table() != nullptr &&
-         planner_.table()->Find(head.Header("Host"), head.path) != nullptr;
+         (planner_.table()->Find(head.Header("Host"), head.path) != nullptr ||
+          feed_.routing_freshness(MonotonicNow()) ==
+              RoutingFreshness::kSuspended);
 }
 
 void ForwardHost::SetListenerLimits(const CallerLimits& limits) {
--- a/src/libsnipeworks/forward_host_log.cpp
+++ b/src/libsnipeworks/forward_host_log.cpp
@@ -160,6 +160,8 @@
   gauges.customers = customers_.customers().size();
   gauges.unauthenticated = unauthenticated_;
   gauges.unconfirmed_keys = unconfirmed_keys_;
+  gauges.held = requests_held_;
+  gauges.may_repeat = MayRepeat(now);
   gauges.log_lines = log_.lines();
   gauges.log_lines_dropped = log_.dropped();
   gauges.control_hosts = feed_.connected_count(now);
--- a/src/libsnipeworks/forward_host_relay.cpp
+++ b/src/libsnipeworks/forward_host_relay.cpp
@@ -97,6 +97,7 @@
   const Instant now = MonotonicNow();
   const Duration passed = now - running.started;
   const RequestId id = running.request.id;
+  running.request.repeatable = running.request.repeatable && MayRepeat(now);
   running.attempts = attempts;
   RelayedForward message =
       ToMessage(running.request, running.format, attempts, passed);
@@ -124,8 +125,9 @@
   const bool enough_time =
       now + kMinRelayTime < found->second.started + *request.budget;
   const bool may_run_again =
-      attempts == 0 || (request.repeatable && (policy.max_attempts == 0 ||
-                                               attempts < policy.max_attempts));
+      attempts == 0 ||
+      (request.repeatable && MayRepeat(now) &&
+       (policy.max_attempts == 0 || attempts < policy.max_attempts));
   if (!found->second.origin.empty() || found->second.relay || !enough_time ||
       !may_run_again ||
       (attempts > 0 && !searches_.TakeExtraAttempts(now, *request.plan))) {
@@ -229,6 +231,10 @@
   running.format.pass_through = message->pass_through;
   running.format.is_head_method = message->is_head_method;
   running.request = ToRequest(*message);
+  // The origin decides by its routing, unless this host has a newer one.
+  running.request.repeatable =
+      running.request.repeatable &&
+      running.request.plan->version >= feed_.routing_version();
   running.request.id = next_request_++;
   running.exchange = exchange;
   running.started = now;
--- a/src/libsnipeworks/forward_host_requests.cpp
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -25,6 +25,13 @@
 constexpr Duration kShutdownRetryAfter = milliseconds(10);
 // No other host that is known serves either: time for one to regain targets.
 constexpr Duration kTargetsLostRetryAfter = milliseconds(250);
+// After a suspension a control host in reach replies sooner. Without a reply
+// the rest of the caller's time is better spent on the request, here or at
+// another host.
+constexpr Duration kMaxHold = milliseconds(250);
+constexpr int kHoldShareOfDeadline = 4;
+// A host that regains contact has the newest routing within about this time.
+constexpr Duration kBehindRetryAfter = milliseconds(300);
 
 std::optional<Duration> ReadDeadline(std::string_view text) {
   std::int64_t millis = 0;
@@ -38,8 +45,64 @@
 
 }  // namespace
 
+// What may have changed during a suspension is every decision that depends on
+// the routing, from the route itself to whether the request may run twice.
 void ForwardHost::OnRequest(ExchangeId exchange, HttpRequest request) {
   const Instant now = MonotonicNow();
+  const bool suspended =
+      planner_.table() != nullptr &&
+      feed_.routing_freshness(now) == RoutingFreshness::kSuspended;
+  if (suspended) {
+    Hold(now, exchange, std::move(request));
+  } else {
+    Admit(exchange, std::move(request), now);
+  }
+}
+
+void ForwardHost::Hold(Instant now, ExchangeId exchange, HttpRequest request) {
+  const auto deadline = ReadDeadline(request.Header(names_.deadline_ms));
+  const Duration patience =
+      deadline ? std::min(kMaxHold, *deadline / kHoldShareOfDeadline)
+               : kMaxHold;
+  ++requests_held_;
+  held_.insert_or_assign(exchange, HeldRequest{std::move(request), now});
+  loop_.After(patience, [this, exchange] { Release(exchange); });
+}
+
+void ForwardHost::Release(ExchangeId exchange) {
+  auto held = held_.extract(exchange);
+  if (!held.empty()) {
+    Admit(exchange, std::move(held.mapped().request), held.mapped().arrived);
+  }
+}
+
+void ForwardHost::ReleaseAll(Instant now) {
+  auto released = std::exchange(held_, {});
+  if (released.empty()) {
+    return;
+  }
+  log_.Write(EventKind::kRoutingConfirmed,
+             {{"version", feed_.routing_version()},
+              {"released", released.size()},
+              {"waited_ms", now - released.begin()->second.arrived}});
+  for (auto& [exchange, held] : released) {
+    Admit(exchange, std::move(held.request), held.arrived);
+  }
+}
+
+void ForwardHost::OnControlReply() {
+  const Instant now = MonotonicNow();
+  searches_.RepeatUntil(feed_.repeatable_until());
+  if (feed_.routing_freshness(now) != RoutingFreshness::kSuspended) {
+    ReleaseAll(now);
+  }
+}
+
+void ForwardHost::Admit(ExchangeId exchange,
+                        HttpRequest request,
+                        Instant arrived) {
+  const Instant now = MonotonicNow();
+  const RoutingFreshness freshness = feed_.routing_freshness(now);
   if (planner_.table() == nullptr) {
     Reject(exchange, request,
            {ErrorKind::kNotReady, "no routes are known yet",
@@ -48,6 +111,14 @@
   }
   const Route* route =
       planner_.table()->Find(request.Header("Host"), request.path);
+  if (route == nullptr && freshness == RoutingFreshness::kSuspended) {
+    Reject(exchange, request,
+           {ErrorKind::kNotReady,
+            "this host was suspended and has yet to learn of new routes",
+            kBehindRetryAfter},
+           true);
+    return;
+  }
   if (route == nullptr) {
     Reject(exchange, request,
            {ErrorKind::kUnknownRoute,
@@ -55,8 +126,8 @@
             {}});
     return;
   }
-  const auto customer = Authorize(request.headers, *route, customers_,
-                                  feed_.routing_freshness(now), names_);
+  const auto customer =
+      Authorize(request.headers, *route, customers_, freshness, names_);
   if (!customer) {
     RejectUnauthorized(exchange, request, customer.error());
     return;
@@ -97,7 +168,7 @@
     running.request.customer = (*customer)->name;
   }
   running.request.customer_rank = CustomerRank(*customer, *route, customers_);
-  running.request.repeatable = route->repeatable;
+  running.request.repeatable = route->repeatable && MayRepeat(now);
   running.request.budget = std::min(
       timeout,
       ReadDeadline(request.Header(names_.deadline_ms)).value_or(timeout));
@@ -107,12 +178,14 @@
   running.format.top_records = route->top_records;
   running.format.pass_through = route->shards.empty();
   running.format.is_head_method = request.method == "HEAD";
-  running.started = now;
+  running.started = arrived;
   if (!Charge(now, request, running)) {
     return;
   }
   running.request.forwarded = ToForwardedRequest(
       request, names_, {running.request.customer, !customers_.empty()});
+  running.http_host = request.Header("Host");
+  running.path = std::move(request.path);
   requests_by_exchange_[exchange] = running.request.id;
   if (MayRelay(now)) {
     Relay(std::move(running), 0);
@@ -164,7 +237,25 @@
   Reject(exchange, request, error, !is_final);
 }
 
+void ForwardHost::ForbidRepeatsByRouting() {
+  for (auto& [id, running] : running_) {
+    if (!running.request.repeatable) {
+      continue;
+    }
+    // The version that the origin of a relayed request has is not known here.
+    const Route* route =
+        running.origin.empty()
+            ? planner_.table()->Find(running.http_host, running.path)
+            : nullptr;
+    if (route == nullptr || !route->repeatable) {
+      running.request.repeatable = false;
+      searches_.ForbidRepeats(id);
+    }
+  }
+}
+
 void ForwardHost::OnCallerDisconnected(ExchangeId exchange) {
+  held_.erase(exchange);
   auto node = requests_by_exchange_.extract(exchange);
   if (node.empty()) {
     return;
--- a/src/libsnipeworks/routing_contact.cpp
+++ b/src/libsnipeworks/routing_contact.cpp
@@ -20,6 +20,9 @@
 // Covers calls from before the suspension that have to fail first. A host that
 // is partitioned serves by its routing afterwards.
 constexpr Duration kMaxResumeTime = milliseconds(1500);
+// The shortest time that any deployment allows an accepted version to be in
+// force everywhere.
+constexpr Duration kRepeatLease = milliseconds(3000);
 
 }  // namespace
 
@@ -54,4 +57,9 @@
                                    : RoutingFreshness::kMayBeBehind;
 }
 
+// A suspension needs no special treatment: the lease passes meanwhile.
+Instant RoutingContact::RepeatableUntil() const {
+  return newest_sent_ ? *newest_sent_ + kRepeatLease : Instant{};
+}
+
 }  // namespace snipeworks
--- a/src/libsnipeworks/routing_contact_test.cpp
+++ b/src/libsnipeworks/routing_contact_test.cpp
@@ -92,6 +92,27 @@
   EXPECT_EQ(Freshness(), kMayBeBehind);
 }
 
+// Guards against requests that are sent twice by a routing that may have been
+// replaced: while the host did not run, or without a control host.
+TEST_F(Contact, LetsRequestsRepeatForAsLongAsNoNewerVersionIsDue) {
+  const auto may_repeat = [&] { return now < contact.RepeatableUntil(); };
+  Run(seconds(5));
+  EXPECT_FALSE(may_repeat());
+  RunInContact(seconds(5));
+  EXPECT_TRUE(may_repeat());
+  const Instant sent_before = now;
+  Run(milliseconds(1900));
+  EXPECT_TRUE(may_repeat());
+  Run(milliseconds(1100));
+  EXPECT_FALSE(may_repeat());
+  contact.OnCurrentReply(sent_before, now);
+  EXPECT_FALSE(may_repeat());
+  contact.OnCurrentReply(now - milliseconds(5), now);
+  EXPECT_TRUE(may_repeat());
+  now += seconds(4);
+  EXPECT_FALSE(may_repeat());
+}
+
 // The first call after the start counts, whenever it was sent.
 TEST_F(Contact, BeginsWithTheFirstReply) {
   Run(seconds(10));
--- a/src/libsnipeworks/search_controller.cpp
+++ b/src/libsnipeworks/search_controller.cpp
@@ -56,6 +56,14 @@
   return impl_->MostAttempts(request);
 }
 
+void SearchController::RepeatUntil(Instant until) {
+  impl_->RepeatUntil(until);
+}
+
+void SearchController::ForbidRepeats(RequestId request) {
+  impl_->ForbidRepeats(request);
+}
+
 bool SearchController::TakeExtraAttempts(Instant now, const SearchPlan& plan) {
   return impl_->TakeExtraAttempts(now, plan);
 }
--- a/src/libsnipeworks/search_controller_test.cpp
+++ b/src/libsnipeworks/search_controller_test.cpp
@@ -322,6 +322,64 @@
   EXPECT_EQ(fake.sent[AttemptKind::kHedge], 0);
 }
 
+// A host whose routing may have been replaced.
+class RepeatLease : public ::testing::Test {
+ protected:
+  RepeatLease() {
+    fake.AddTargets(1, 3);
+    WarmUp(fake);
+    fake.behaviour = [this](const AttemptCommand& command) {
+      return command.kind == AttemptKind::kPrimary ? first
+                                                   : FakeReply{milliseconds(5)};
+    };
+  }
+
+  int Hedges() { return fake.sent[AttemptKind::kHedge]; }
+  int Retries() { return fake.sent[AttemptKind::kRetry]; }
+
+  FakeTargets fake;
+  FakeReply first{milliseconds(400)};
+};
+
+// Guards against hedges by a routing that may have been replaced, for requests
+// that were sent before, too.
+TEST_F(RepeatLease, DelaysHedgesUntilItIsRenewed) {
+  const int before = Hedges();
+  const RequestId slow = fake.Search("slow");
+  fake.controller.RepeatUntil(fake.now);
+  fake.Run(milliseconds(200));
+  EXPECT_EQ(Hedges(), before);
+  fake.controller.RepeatUntil(fake.now + seconds(3));
+  fake.Run(milliseconds(60));
+  EXPECT_EQ(Hedges(), before + 1);
+  EXPECT_TRUE(fake.ResultOf(slow));
+}
+
+TEST_F(RepeatLease, AllowsReplacementsOfAttemptsThatWereNotRun) {
+  fake.controller.RepeatUntil(fake.now);
+  first = {milliseconds(5), AttemptStatus::kNotSent};
+  const RequestId unsent = fake.Search("unsent");
+  fake.Run(milliseconds(100));
+  EXPECT_TRUE(fake.ResultOf(unsent));
+
+  first = {milliseconds(5), AttemptStatus::kFailed};
+  const RequestId failed = fake.Search("failed");
+  fake.Run(milliseconds(100));
+  EXPECT_FALSE(fake.ResultOf(failed));
+  EXPECT_EQ(Retries(), 0);
+}
+
+// Guards against a hedge for a request in flight whose route has since become
+// one whose requests run at most once.
+TEST_F(RepeatLease, DoesNotRenewForARequestThatMayRunOnce) {
+  const int before = Hedges();
+  const RequestId order = fake.Search("order");
+  fake.controller.ForbidRepeats(order);
+  fake.Run(milliseconds(500));
+  EXPECT_EQ(Hedges(), before);
+  EXPECT_TRUE(fake.ResultOf(order));
+}
+
 // Extra attempts stay within their budget for any behavior of the targets.
 RC_GTEST_PROP(ExtraAttempts, StayWithinTheBudgetAtAnyLoad, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/src/libsnipeworks/search_engine.h
+++ b/src/libsnipeworks/search_engine.h
@@ -102,6 +102,8 @@
     FinishWith(now, request, std::move(error));
   }
   std::optional<std::int64_t> MostAttempts(RequestId request) const;
+  void RepeatUntil(Instant until) { repeatable_until_ = until; }
+  void ForbidRepeats(RequestId request);
   bool TakeExtraAttempts(Instant now, const SearchPlan& plan);
   bool TakeExtraAttempts(Instant now, const std::string& group);
   void OnOutcome(Instant now, AttemptId id, const AttemptOutcome& outcome);
@@ -172,6 +174,8 @@
   std::optional<AttemptKind> NextAttemptKind(Instant now,
                                              const SearchRun& search,
                                              std::size_t part_index);
+  /// True while requests that routes let run again may do so.
+  bool MayRepeat(Instant now) const { return now < repeatable_until_; }
   void DispatchOrEnqueue(Instant now,
                          RequestId id,
                          std::size_t part_index,
@@ -187,7 +191,9 @@
                     AttemptKind kind,
                     const Announcement& target);
   void Advance(Instant now, RequestId id);
-  bool MayTryAgain(const SearchRun& search, const PartRun& part) const;
+  bool MayTryAgain(Instant now,
+                   const SearchRun& search,
+                   const PartRun& part) const;
   /// Why no target of a part could be chosen.
   MissingReason NoTargetReason(Instant now,
                                const SearchRun& search,
@@ -266,6 +272,7 @@
   TimerQueue<SearchTimer> timers_;
   std::vector<SearchAction> actions_;
   AttemptId next_attempt_ = 1;
+  Instant repeatable_until_ = Instant::max();
   Instant pruned_at_{};
 };
 
--- a/src/libsnipeworks/search_flow.cpp
+++ b/src/libsnipeworks/search_flow.cpp
@@ -78,7 +78,7 @@
   if (!part.started) {
     return AttemptKind::kPrimary;
   }
-  if (!MayTryAgain(search, part)) {
+  if (!MayTryAgain(now, search, part)) {
     return std::nullopt;
   }
   if (part.possibly_run_attempts == 0 || part.budget_reserved) {
@@ -336,17 +336,25 @@
   }
 }
 
-// True if another attempt may be sent for the part: a non-repeatable request
-// must not have run, and a repeatable one must be below its attempt limit.
-bool SearchEngine::MayTryAgain(const SearchRun& search,
+// True if another attempt may be sent for the part: a request that is not
+// repeatable, or no longer known to be, must not have run, and a repeatable one
+// must be below its attempt limit.
+bool SearchEngine::MayTryAgain(Instant now,
+                               const SearchRun& search,
                                const PartRun& part) const {
-  if (!search.request().repeatable) {
+  if (!search.request().repeatable || !MayRepeat(now)) {
     return part.possibly_run_attempts == 0;
   }
   const std::int64_t limit = search.policy().max_attempts;
   return limit == 0 || part.possibly_run_attempts < limit;
 }
 
+void SearchEngine::ForbidRepeats(RequestId request) {
+  if (SearchRun* search = FindSearch(request)) {
+    search->ForbidRepeats();
+  }
+}
+
 // Restarts the search once on another snapshot if the pinned one is gone.
 bool SearchEngine::RepinSnapshot(Instant now, RequestId id) {
   SearchRun& search = searches_.at(id);
--- a/src/libsnipeworks/search_outcomes.cpp
+++ b/src/libsnipeworks/search_outcomes.cpp
@@ -9,6 +9,8 @@
 
 // Share of the budget of extra attempts that hedges leave for retries.
 constexpr double kRetryReserve = 0.2;
+// How often it is checked whether a hedge that is due may be sent again.
+constexpr Duration kRepeatCheckInterval = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -187,7 +189,7 @@
                              part.tried,
                              {},
                              search.policy()}) > 0;
-  if (replica_left && MayTryAgain(search, part) &&
+  if (replica_left && MayTryAgain(now, search, part) &&
       TakeExtraBudget(now, group.policy, run.target_group, 0.0)) {
     Enqueue(search, run.part_index, AttemptKind::kRetry);
     return;
@@ -230,6 +232,10 @@
   if (search == nullptr) {
     return;
   }
+  if (search->request().repeatable && !MayRepeat(now)) {
+    timers_.Add(now + kRepeatCheckInterval, HedgeTimer{id});
+    return;
+  }
   if (TargetStats* stats = selector_.Stats(run.target)) {
     stats->OnSlow(now);
   }
@@ -245,7 +251,7 @@
   const auto skip = [&](const char* reason) {
     actions_.emplace_back(HedgeSkipped{id, run.request, run.target, reason});
   };
-  if (!MayTryAgain(*search, part)) {
+  if (!MayTryAgain(now, *search, part)) {
     skip("attempts");
     return;
   }
--- a/src/libsnipeworks/search_poison.cpp
+++ b/src/libsnipeworks/search_poison.cpp
@@ -37,7 +37,7 @@
     const ReplicaQuery query{now, search.ReplicasOf(index), part.tried,
                              typical_latency, search.policy()};
     if (part.status != PartStatus::kPending ||
-        part.started != already_started || !MayTryAgain(search, part) ||
+        part.started != already_started || !MayTryAgain(now, search, part) ||
         selector_.CountUsable(query) == 0) {
       continue;
     }
