Keep counts and shares of customers whose quota comes back

And once no leader answered, 24 of 36 requests inside the quota were refused with 503.

Cause: a host and the leader hold one account of a customer between them, totals and a share, and each ended its half on its own. The host began again at 0; the leader read the new total against the old one and gave the negative difference back. Shares that the host had dropped were not sent again.

Change: both ends keep their half, the host until it ends, the leader for its term. No field was added to the messages.

--- a/src/include/snipeworks/quota_allocator.h
+++ b/src/include/snipeworks/quota_allocator.h
@@ -60,7 +60,8 @@
 
   /// True once the shares of all hosts are known or have expired.
   bool complete() const { return complete_; }
-  std::size_t customers() const { return customers_.size(); }
+  /// Number of customers with a quota.
+  std::size_t customers() const { return limited_; }
   std::size_t hosts() const { return hosts_.size(); }
   std::size_t closed() const { return closed_.size(); }
   const std::set<std::string>& closed_customers() const { return closed_; }
@@ -80,13 +81,16 @@
   struct Holding {
     double granted = 0.0;      ///< In the newest grant.
     double outstanding = 0.0;  ///< The most that the host may hold.
-    std::int64_t used = 0;
-    bool used_known = false;
+    /// As in the newest report that names the customer; nothing before.
+    std::optional<QuotaUse> reported;
+    /// Serial of the grant that answered that report.
+    std::uint64_t answered_by = 0;
     Demand demand;
   };
   struct Host {
     std::uint64_t epoch = 0;
-    std::uint64_t serial = 0;  ///< Of the newest grant.
+    std::uint64_t serial = 0;         ///< Of the newest grant.
+    std::uint64_t report_serial = 0;  ///< Of the newest report.
     Instant granted_at{};
     /// When the newest grant was made that the host is known to have.
     Instant confirmed_at{};
@@ -98,8 +102,12 @@
     Instant rebalanced_at{};
     StringMap<Holding> holdings;
   };
+  // Lasts as long as this host leads, whatever versions leave the customer or
+  // its quota out: it is then refilled as before, and not closed.
   struct Account {
     Quota quota;
+    /// The newest routing version that has the quota.
+    std::uint64_t limited_version = 0;
     double tokens = 0.0;
     Instant tokens_at{};
     bool closed = false;
@@ -120,9 +128,16 @@
                       Holding& holding,
                       double outstanding);
   void SetSilent(Instant now, Host& host, bool silent);
+  bool IsLimited(const Account& account) const {
+    return account.limited_version == routing_version_;
+  }
+  void SetQuota(Instant now, const Customer& customer);
+  void AddHoldings(const Host& host);
   Host& HostOf(Instant now, const QuotaReport& report);
   void Confirm(Instant now, Host& host, const QuotaReport& report);
-  void ReadUses(Instant now, Host& host, const QuotaReport& report);
+  /// Charges what is new in `report`. Returns true if the host has begun to
+  /// count anew for a customer.
+  bool ReadUses(Instant now, Host& host, const QuotaReport& report);
   double NewShare(Instant now,
                   const Account& account,
                   const Holding& holding) const;
@@ -139,6 +154,7 @@
   std::set<std::string> unreported_;
   std::uint64_t routing_version_ = 0;
   StringMap<Account> customers_;
+  std::size_t limited_ = 0;  ///< Of customers_, those with a quota.
   std::map<std::string, Host> hosts_;
   /// Earlier starts of hosts that began again, until their leases end.
   std::vector<Host> ended_;
--- a/src/include/snipeworks/quota_limiter.h
+++ b/src/include/snipeworks/quota_limiter.h
@@ -67,19 +67,26 @@
   /// True if the leader has answered a report of the last second.
   bool InContact(Instant now) const { return now < contact_until_; }
 
-  std::size_t customers() const { return customers_.size(); }
+  /// Number of customers with a quota.
+  std::size_t customers() const { return limited_; }
   std::size_t closed() const;
-  /// Number of customers of which the host holds a share.
+  /// Number of customers with a quota of which the host holds a share.
   std::size_t shares(Instant now) const;
   double ShareOf(Instant now, const std::string& customer) const;
 
  private:
+  // What the host and the leader have told each other of a customer. It lasts
+  // until the host ends, whatever versions leave the customer or its quota out:
+  // both ends go on from the same counts and shares when these come back.
   struct State {
     Quota quota;
+    /// The newest routing version that has the quota; 0 for none so far.
+    std::uint64_t limited_version = 0;
     double share = 0.0;
     bool closed = false;
-    /// Routing version that last lowered the quota. A capacity of one token
-    /// counts only for shares that were given by this version or a newer one.
+    /// Routing version that introduced or lowered the quota. A capacity of one
+    /// token counts only for shares that were given by this version or a newer
+    /// one.
     std::uint64_t lowered_version = 0;
     double tokens = 0.0;
     /// When `tokens` was right; in the future while no tokens are collected.
@@ -100,6 +107,13 @@
   };
 
   void Activate(const std::string& customer, State& state);
+  bool IsLimited(const State& state) const {
+    return state.limited_version > 0 &&
+           state.limited_version == routing_version_;
+  }
+  void SetQuota(Instant now,
+                const Customer& customer,
+                std::uint64_t previous_version);
   void ApplyClosed(Instant now, const QuotaGrant& grant, bool was_in_contact);
   void Settle(Instant now, State& state) const;
   double Capacity(const State& state) const;
@@ -112,6 +126,7 @@
   std::uint64_t epoch_;
   QuotaBounds bounds_;
   StringMap<State> customers_;
+  std::size_t limited_ = 0;  ///< Of customers_, those with a quota.
   /// The customers with a share, something to report, or a closed quota:
   /// reports and grants look at no others.
   std::vector<Active> active_;
--- a/src/libsnipeworks/quota_allocator.cpp
+++ b/src/libsnipeworks/quota_allocator.cpp
@@ -68,6 +68,7 @@
   unreported_ = {known_hosts.begin(), known_hosts.end()};
   routing_version_ = 0;
   customers_.clear();
+  limited_ = 0;
   hosts_.clear();
   ended_.clear();
   closed_.clear();
@@ -122,7 +123,9 @@
   if (found != customers_.end()) {
     Settle(now, found->second);
     found->second.tokens -= requests;
-    UpdateClosed(customer, found->second);
+    if (IsLimited(found->second)) {
+      UpdateClosed(customer, found->second);
+    }
   }
 }
 
@@ -131,46 +134,53 @@
     return;
   }
   routing_version_ = routing.version;
-  StringMap<Account> kept;
+  limited_ = 0;
   for (const Customer& customer : routing.customers) {
-    if (customer.requests_per_second <= 0.0) {
-      continue;
+    if (customer.requests_per_second > 0.0) {
+      SetQuota(now, customer);
     }
-    const Quota quota{customer.requests_per_second, customer.burst};
-    auto known = customers_.extract(customer.name);
-    Account account;
-    account.tokens_at = now;
-    account.tokens = quota.requests_per_second * kElectionS;
-    if (!known.empty()) {
-      account = known.mapped();
-      Settle(now, account);
+  }
+  for (auto& [customer, account] : customers_) {
+    if (!IsLimited(account)) {
+      account.closed = false;
+      closed_.erase(customer);
     }
-    account.quota = quota;
     account.outstanding = 0.0;
     account.silent = 0.0;
     account.capacity = 0.0;
-    kept.emplace(customer.name, account);
   }
-  customers_ = std::move(kept);
-  std::erase_if(closed_, [&](const std::string& customer) {
-    return !customers_.contains(customer);
-  });
-  const auto add = [&](const Host& host) {
-    for (const auto& [customer, holding] : host.holdings) {
-      auto found = customers_.find(customer);
-      if (found != customers_.end()) {
-        Account& account = found->second;
-        account.outstanding += holding.outstanding;
-        account.silent += host.silent ? holding.outstanding : 0.0;
-        account.capacity += QuotaCapacity(account.quota, holding.outstanding);
-      }
-    }
-  };
   for (const auto& [name, host] : hosts_) {
-    add(host);
+    AddHoldings(host);
   }
   for (const Host& host : ended_) {
-    add(host);
+    AddHoldings(host);
+  }
+}
+
+void QuotaAllocator::SetQuota(Instant now, const Customer& customer) {
+  const Quota quota{customer.requests_per_second, customer.burst};
+  auto [entry, inserted] = customers_.try_emplace(customer.name);
+  Account& account = entry->second;
+  if (inserted) {
+    account.tokens_at = now;
+    account.tokens = quota.requests_per_second * kElectionS;
+  } else {
+    Settle(now, account);
+  }
+  account.quota = quota;
+  account.limited_version = routing_version_;
+  ++limited_;
+}
+
+void QuotaAllocator::AddHoldings(const Host& host) {
+  for (const auto& [customer, holding] : host.holdings) {
+    auto found = customers_.find(customer);
+    if (found != customers_.end()) {
+      Account& account = found->second;
+      account.outstanding += holding.outstanding;
+      account.silent += host.silent ? holding.outstanding : 0.0;
+      account.capacity += QuotaCapacity(account.quota, holding.outstanding);
+    }
   }
 }
 
@@ -294,23 +304,42 @@
   unreported_.erase(report.host);
 }
 
-void QuotaAllocator::ReadUses(Instant now,
+// Counts are totals of the host, so that each report replaces the ones before
+// it. Hosts of earlier versions begin them at 0 again when a customer or its
+// quota comes back: the difference to a count from before is no use. What a
+// host names as counted tells, since it can only be what was counted before the
+// newest report on the customer, or after it.
+bool QuotaAllocator::ReadUses(Instant now,
                               Host& host,
                               const QuotaReport& report) {
+  if (report.serial <= host.report_serial) {
+    return false;
+  }
+  host.report_serial = report.serial;
+  bool began_anew = false;
   for (const QuotaUse& use : report.uses) {
-    auto found = customers_.find(use.customer);
-    if (found == customers_.end()) {
-      continue;
-    }
     Holding& holding = host.holdings[use.customer];
-    const std::int64_t counted =
-        holding.used_known ? holding.used : use.counted;
-    holding.used = use.used;
-    holding.used_known = true;
+    std::int64_t counted = use.counted;
+    if (holding.reported) {
+      const bool answered = report.term == term_ &&
+                            report.grant_serial <= host.serial &&
+                            report.grant_serial >= holding.answered_by;
+      const bool continues =
+          use.counted ==
+          (answered ? holding.reported->used : holding.reported->counted);
+      counted = continues ? holding.reported->used : use.counted;
+      began_anew |= !continues;
+    }
+    holding.reported = use;
+    holding.answered_by = host.serial + 1;
     holding.demand.Add(now, use.demand);
-    found->second.demand.Add(now, use.demand);
-    Charge(now, use.customer, static_cast<double>(use.used - counted));
+    auto found = customers_.find(use.customer);
+    if (found != customers_.end()) {
+      found->second.demand.Add(now, use.demand);
+      Charge(now, use.customer, static_cast<double>(use.used - counted));
+    }
   }
+  return began_anew;
 }
 
 double QuotaAllocator::NewShare(Instant now,
@@ -349,8 +378,8 @@
                                QuotaGrant& grant) {
   const auto decide = [&](const std::string& customer, Holding& holding) {
     auto found = customers_.find(customer);
-    const double share =
-        found == customers_.end() ? 0.0 : NewShare(now, found->second, holding);
+    const bool limited = found != customers_.end() && IsLimited(found->second);
+    const double share = limited ? NewShare(now, found->second, holding) : 0.0;
     if (share == holding.granted) {
       return;
     }
@@ -399,10 +428,13 @@
       std::chrono::duration_cast<milliseconds>(kQuotaLease).count();
   // Changes build on the newest grant: a host that lacks it gets all shares.
   // So does one that lists what it holds: its lease may have ended here later.
+  // One that counts a customer anew has also dropped the share.
   grant.full = host.serial == 0 || report.term != term_ ||
                report.grant_serial != host.serial || report.lists_shares;
   Confirm(now, host, report);
-  ReadUses(now, host, report);
+  if (ReadUses(now, host, report)) {
+    grant.full = true;
+  }
   if (host.listed) {
     Rebalance(now, host, report, grant);
   } else {
@@ -437,7 +469,9 @@
                                               std::size_t limit) const {
   std::vector<QuotaUsage> usage;
   for (const auto& [customer, account] : customers_) {
-    if (account.demand.Weight(now) >= kMinDemandWeight || account.closed) {
+    const bool busy =
+        account.demand.Weight(now) >= kMinDemandWeight || account.closed;
+    if (busy && IsLimited(account)) {
       usage.push_back(UsageOf(now, customer));
     }
   }
--- a/src/libsnipeworks/quota_limiter.cpp
+++ b/src/libsnipeworks/quota_limiter.cpp
@@ -59,42 +59,40 @@
   if (routing.version <= routing_version_) {
     return;
   }
-  routing_version_ = routing.version;
-  StringMap<State> kept;
+  const std::uint64_t previous =
+      std::exchange(routing_version_, routing.version);
+  const bool had_quotas = std::exchange(limited_, 0) > 0;
   for (const Customer& customer : routing.customers) {
-    if (customer.requests_per_second <= 0.0) {
-      continue;
-    }
-    const Quota quota{customer.requests_per_second, customer.burst};
-    auto known = customers_.extract(customer.name);
-    if (known.empty()) {
-      State state;
-      state.quota = quota;
-      state.tokens_at = now;
-      state.lowered_version = routing.version;
-      kept.emplace(customer.name, state);
-      continue;
+    if (customer.requests_per_second > 0.0) {
+      SetQuota(now, customer, previous);
+      ++limited_;
     }
-    State& state = known.mapped();
-    Settle(now, state);
-    if (quota.requests_per_second < state.quota.requests_per_second ||
-        quota.burst < state.quota.burst) {
-      state.lowered_version = routing.version;
-    }
-    state.quota = quota;
-    state.tokens = std::min(state.tokens, Capacity(state));
-    kept.insert(std::move(known));
   }
-  if (customers_.empty() && !kept.empty()) {
+  if (!had_quotas && limited_ > 0) {
     next_report_at_ = now;
   }
-  customers_ = std::move(kept);
-  active_.clear();
-  for (auto& [customer, state] : customers_) {
-    if (std::exchange(state.active, false)) {
-      Activate(customer, state);
-    }
+}
+
+// A quota that comes back begins with an empty bucket, as a new one does, but
+// with the counts and the share that the leader knows.
+void QuotaLimiter::SetQuota(Instant now,
+                            const Customer& customer,
+                            std::uint64_t previous_version) {
+  const Quota quota{customer.requests_per_second, customer.burst};
+  State& state = customers_[customer.name];
+  const bool begins =
+      state.limited_version == 0 || state.limited_version != previous_version;
+  Settle(now, state);
+  if (begins) {
+    state.tokens = std::min(state.tokens, 0.0);
+  }
+  if (begins || quota.requests_per_second < state.quota.requests_per_second ||
+      quota.burst < state.quota.burst) {
+    state.lowered_version = routing_version_;
   }
+  state.quota = quota;
+  state.limited_version = routing_version_;
+  state.tokens = std::min(state.tokens, Capacity(state));
 }
 
 void QuotaLimiter::Activate(const std::string& customer, State& state) {
@@ -138,7 +136,7 @@
 
 QuotaDecision QuotaLimiter::Take(Instant now, const std::string& customer) {
   auto found = customers_.find(customer);
-  if (found == customers_.end()) {
+  if (found == customers_.end() || !IsLimited(found->second)) {
     return {};
   }
   State& state = found->second;
@@ -213,8 +211,8 @@
 }
 
 std::optional<Instant> QuotaLimiter::NextReport() const {
-  return customers_.empty() || in_flight_ ? std::nullopt
-                                          : std::optional(next_report_at_);
+  return limited_ == 0 || in_flight_ ? std::nullopt
+                                     : std::optional(next_report_at_);
 }
 
 QuotaReport QuotaLimiter::TakeReport(Instant now) {
@@ -260,12 +258,15 @@
       active.state->share = 0.0;
     }
   }
+  // The leader may have a newer version than this host, which gives the
+  // customer a quota, and does not repeat the share.
   for (const QuotaShare& share : grant.shares) {
-    auto found = customers_.find(share.customer);
-    if (found != customers_.end()) {
-      Activate(found->first, found->second);
-      found->second.share = share.share;
+    if (share.share == 0.0 && !customers_.contains(share.customer)) {
+      continue;
     }
+    auto [entry, inserted] = customers_.try_emplace(share.customer);
+    Activate(entry->first, entry->second);
+    entry->second.share = share.share;
   }
 }
 
@@ -359,16 +360,19 @@
 }
 
 std::size_t QuotaLimiter::closed() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      customers_, [](const auto& entry) { return entry.second.closed; }));
+  return static_cast<std::size_t>(
+      std::ranges::count_if(customers_, [this](const auto& entry) {
+        return entry.second.closed && IsLimited(entry.second);
+      }));
 }
 
 std::size_t QuotaLimiter::shares(Instant now) const {
-  return now >= lease_until_ ? 0
-                             : static_cast<std::size_t>(std::ranges::count_if(
-                                   customers_, [](const auto& entry) {
-                                     return entry.second.share > 0.0;
-                                   }));
+  return now >= lease_until_
+             ? 0
+             : static_cast<std::size_t>(
+                   std::ranges::count_if(customers_, [this](const auto& entry) {
+                     return entry.second.share > 0.0 && IsLimited(entry.second);
+                   }));
 }
 
 double QuotaLimiter::ShareOf(Instant now, const std::string& customer) const {
