Keep keys from targets while the first customers may be unknown

Where no control host replies, a host without customers still took every key for a header of no meaning.

Change: a host without customers that is just resuming refuses requests with a key, with 503.

--- a/src/libsnipeworks/request_authorization.cpp
+++ b/src/libsnipeworks/request_authorization.cpp
@@ -52,6 +52,15 @@
                                   RoutingFreshness freshness,
                                   const ForwardNames& names) {
   if (directory.empty()) {
+    // The first customers may have been introduced during the suspension. Then
+    // the key must not be shown to targets.
+    if (freshness == RoutingFreshness::kSuspended &&
+        FindKey(headers, names).fault == nullptr) {
+      return Fail(ErrorKind::kNotReady,
+                  "this host was suspended and has yet to learn whether keys "
+                  "are in use",
+                  kBehindRetryAfter);
+    }
     return nullptr;
   }
   const KeyInRequest found = FindKey(headers, names);
--- a/testsuite/forward.py
+++ b/testsuite/forward.py
@@ -192,11 +192,12 @@
     """One request to an entry host and the response to it."""
 
     def __init__(self, entry, host, target, method="GET", body=None, deadline_ms=2000,
-                 connection=None):
+                 connection=None, headers=None):
         self.id = hashlib.md5(os.urandom(16)).hexdigest()[:16]
         self.entry, self.host, self.target, self.method = entry, host, target, method
         self.body, self.deadline_ms = body, deadline_ms
         self.connection = connection
+        self.more_headers = headers or {}
         self.status, self.headers, self.response_body = 0, {}, b""
         self.malformed = False  # The bytes received are no response.
         self.missing, self.signatures = None, []
@@ -209,7 +210,7 @@
         try:
             connection.request(self.method, self.target, body=self.body, headers={
                 "Host": self.host, "Snipe-Request-Id": self.id,
-                "Snipe-Deadline-Ms": str(self.deadline_ms)})
+                "Snipe-Deadline-Ms": str(self.deadline_ms), **self.more_headers})
             response = connection.getresponse()
             self.response_body = response.read()
             self.status, self.headers = response.status, dict(response.getheaders())
--- a/testsuite/woken_entry_host/run.py
+++ b/testsuite/woken_entry_host/run.py
@@ -1,8 +1,8 @@
 """An entry host that wakes after a version was accepted without it handles what waits in its sockets
 by that version, and sends nothing twice that may run once now.
 
-Guards against orders that run at two targets, by the wrong group or on a dropped route, since they
-were read before the host had heard from a control host. Without any control host the host goes on
+Guards against orders that run at two targets, by the wrong group or on a dropped route, and keys that
+are shown to targets, since they were read before the host had heard from a control host. Without any control host the host goes on
 serving by the routes that it has, but repeats nothing."""
 
 import signal
@@ -13,19 +13,21 @@
 import forward
 from fleet import check, http, wait_for
 from forward import Call
-from scripted_target import ScriptedTarget, response_with_record
+from scripted_target import ScriptedTarget, header_value, response_with_record
 
 IN_FORCE_S = 3.0  # An accepted version must be in force everywhere after this time.
 SENT_BEFORE_WAKE_S = 0.4
 SLOW_S = 0.8  # Long enough for a hedge.
 ORDERS = 2
+KEY = "key-of-arno"
 
 
 class Waiting:
     """A call on its own thread; `runs` lists the groups whose targets ran it."""
 
-    def __init__(self, runs, entry, host, path, connection=None):
-        self.call = Call(entry, host, path, "POST", b"x", deadline_ms=8000, connection=connection)
+    def __init__(self, runs, entry, host, path, connection=None, key=None):
+        self.call = Call(entry, host, path, "POST", b"x", deadline_ms=8000, connection=connection,
+                         headers={"Authorization": f"Token {key}"} if key else {})
         self.runs = runs.setdefault(self.call.id, [])
         self.thread = threading.Thread(target=self.call.perform, daemon=True)
         self.thread.start()
@@ -39,10 +41,13 @@
     controls, entry = deployment.controls, deployment.entries[0]
     process = deployment.processes["entry-1"]
     runs = {}
+    shown = []  # Requests with which a target got a key.
 
     def responder(group):
         def respond(request_id, head):
             runs.setdefault(request_id, []).append(group)
+            if header_value(head, "authorization"):
+                shown.append(request_id)
             path = head.split(b" ", 2)[1]
             time.sleep(SLOW_S if path.startswith(b"/slow") else 0.01)
             return response_with_record(request_id, group)
@@ -65,9 +70,10 @@
               "turns": route("turns.test", kind="once"),
               "moves": route("moves.test", group="after"), "added": route("added.test")}
 
-    def accept(routes, control):
+    def accept(routes, control, customers=()):
         document = deployment.routing_document(deployment.routes(**routes))
         document["groups"] += [{"name": group, "max_connections": 200} for group in groups]
+        document["customers"] = list(customers)
         check(http("POST", f"{control}:8000", "/v1/routing/replace", document,
                    timeout=5.0)[0] == 200, "a version is accepted")
         return time.monotonic()
@@ -126,6 +132,21 @@
     check_by_second_version("with the control host of its zone", [
         deployment.processes["control-1"]])
 
+    # The first customers are introduced while the host is stopped.
+    accept(first, controls[1])
+    wait_for("there are no customers", lambda: status("dropped.test") == 200, 10)
+    process.send(signal.SIGSTOP)
+    time.sleep(0.2)
+    accepted = accept(first, controls[1], [{"name": "arno", "keys": [KEY]}])
+    time.sleep(max(0.0, accepted + IN_FORCE_S - time.monotonic()))
+    known = [Waiting(runs, entry, "shop.test", "/x", key=KEY) for _ in range(ORDERS)]
+    strange = [Waiting(runs, entry, "shop.test", "/x", key="strange") for _ in range(ORDERS)]
+    time.sleep(SENT_BEFORE_WAKE_S)
+    process.send(signal.SIGCONT)
+    check([call.status() for call in known] == [200] * ORDERS, "requests with a key are served")
+    check([call.status() for call in strange] == [401] * ORDERS, "others are not")
+    check(not shown, f"{len(shown)} keys were shown to targets")
+
     # No control host replies to the host that wakes.
     all_controls = [deployment.processes[f"control-{i + 1}"] for i in range(len(controls))]
     calls, statuses, in_flight = stop_and_wake("without control hosts", [], all_controls)
