Soak and mixed versions: routes and quotas that change while hosts do not run

The soak stops an entry host, lets a route's requests run once only meanwhile, and has orders wait for it at the wake; and leaves a customer or its quota out of versions under load and checks the bound by what targets see.

--- a/testsuite/mixed_versions/run.py
+++ b/testsuite/mixed_versions/run.py
@@ -7,7 +7,9 @@
 recorded outlive all of it, also a compaction of the log by a host of the previous version. An entry
 host of this version counts each shard once that a document names twice, whichever version its
 control hosts have and wherever the document was stored. Orders about zones are acknowledged by hosts
-of either version, whichever version leads, and all hosts then agree on the zones."""
+of either version, whichever version leads, and all hosts then agree on the zones. A customer whose
+quota is left out and set again stays within it, and gets it, whichever versions the leader and the
+entry hosts have, unless both are of the previous one."""
 
 import json
 import os
@@ -19,9 +21,14 @@
 import forward
 from forward import Call
 from fleet import check, http, wait_for
-from scripted_target import ScriptedTarget, response_with_record
+from quotas import WINDOW_S, Sender, most_in_window
+from scripted_target import ScriptedTarget, header_value, response_with_record
 
 GROUP = "crew"
+RATE, BURST = 20, 20
+ALLOWED = (RATE * WINDOW_S + BURST) * 1.1 + 20
+IN_FORCE_S = 4.0
+LEASE_OF_SHARES_S = 11
 COMPACTION_ENTRIES = 4000  # After so many entries the log is compacted.
 LEASE_S = 2.5
 
@@ -166,6 +173,65 @@
             order(control[(i + 1) % len(control)], "other", "readmit")
             wait_for(f"{text}: hosts agree", lambda: agree(["stays"]), 5)
 
+    def accept_customers(*customers):
+        public = {name: {**route, "public": True} for name, route in
+                  ((route.pop("name"), route) for route in deployment.routes())}
+        document = deployment.routing_document(deployment.routes(**public, quoted={
+            "host": "quoted.test", "path_prefix": "/", "kind": "repeatable", "timeout_ms": 2000,
+            "objective_ms": 200, "rank": 1, "group": "quoted", "max_attempts": 2}))
+        document["groups"].append({"name": "quoted", "max_connections": 200})
+        document["customers"] = list(customers)
+        wait_for("a version with customers is accepted", lambda: http(
+            "POST", f"{control[0]}:8000", "/v1/routing/replace", document, timeout=5)[0] == 200, 5)
+
+    def check_returning_quota(text):
+        limited = {"name": "large", "keys": ["key-large"], "requests_per_s": RATE, "burst": BURST}
+        other = {"name": "other", "keys": ["key-other"], "requests_per_s": 1000, "burst": 1000}
+        sender = Sender(deployment.entries)
+        accept_customers(limited, other)
+        for entry in deployment.entries:
+            wait_for(f"{text}: the quota is in force",
+                     lambda e=entry: sender.send("large", e)[1] == 200, 10)
+        time.sleep(LEASE_OF_SHARES_S)  # What a replaced host held is reserved for so long.
+        for load in ("before", "after"):
+            statuses = [result[1] for result in sender.send_for(5, "large", 16)]
+            check(set(statuses) == {200}, f"{text}, {load}: within the quota: {statuses}")
+            accept_customers({"name": "large", "keys": ["key-large"]}, other)
+            time.sleep(0.5)
+            accept_customers(limited, other)
+        time.sleep(IN_FORCE_S)
+        begin = time.monotonic()
+        for entry in deployment.entries:
+            sender.send_for(2, "large", 60, entry)
+        most = most_in_window(at for at in quoted_runs if at >= begin)
+        print(f"{text}: {most} of {ALLOWED:.0f} in {WINDOW_S} s")
+        check(most <= ALLOWED, f"{text}: {most} requests ran")
+        check(most >= 0.7 * (RATE * 4), f"{text}: {most} requests ran, the quota is more")
+
+    # A quota that comes back, with leaders and entry hosts of both versions.
+    quoted_runs = []
+
+    def respond(request_id, head):
+        if header_value(head, "snipe-customer") == "large":
+            quoted_runs.append(time.monotonic())
+        return response_with_record(request_id, "quoted")
+
+    ScriptedTarget("quoted", "quoted", deployment.zones[0], deployment.target_address, 20510,
+                   respond, slots=64, with_head=True).keep_reporting(control)
+    for name in ("entry-1", "entry-2"):
+        replace(name, programs)
+    check_returning_quota("a leader of the previous version, entry hosts of this one")
+    for i in range(len(control)):
+        replace(f"control-{i + 1}", programs)
+    check_returning_quota("all hosts of this version")
+    replace("entry-1", previous)
+    check_returning_quota("a leader of this version, entry hosts of both")
+    replace("entry-2", previous)
+    check_returning_quota("a leader of this version, entry hosts of the previous one")
+    accept_customers()
+    for i in range(len(control)):
+        replace(f"control-{i + 1}", previous)
+
     # A document that names shards twice, at control hosts of either version.
     replace("entry-1", programs)
     search = deployment.routes()[0]
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -7,13 +7,16 @@
 reset, or for new connections alone), and a loopback proxy delays, resets, stalls or blocks connections
 in one direction, and control hosts are cut off from each other. Faults follow each other and overlap; meanwhile another writer reports targets with
 names that are no text, some targets send status lines that are none, some versions of the routes name
-shards twice, and a zone is evacuated and readmitted, at times by orders that arrive late. Once in a run all control
-and entry hosts are killed, at times with the loss of a disk, and reports of targets that have drained
+shards twice, and a zone is evacuated and readmitted, at times by orders that arrive late. A route
+turns into one whose requests run once while an entry host is stopped, with orders waiting for it, and a
+customer's quota is left out and set again under load. Once in a run all control and entry hosts are killed, at times with the loss of a disk, and reports of targets that have drained
 arrive late. The invariants, as seen by callers, targets and the operator:
   - no process ends by itself, and a report that cannot be read is refused;
   - a caller gets a response or none, never other bytes;
   - a successful search over all shards returns the right records, from one version's shards;
-  - a request that may run once never runs twice, and has not run if it was refused;
+  - a request that may run once never runs twice, and has not run if it was refused, also if it may run
+    only once since a version that its entry host has missed;
+  - a customer gets no more than its quota, from 3 s and a window after the quota was set again;
   - an acknowledged version is read back, and no older one later than 3 s after it;
   - a target gets no new request later than 3 s after its drain was acknowledged, and none is tried;
   - a control host that is current has the newest acknowledged order about a zone;
@@ -41,6 +44,7 @@
 from forward import Call
 from raw_http import raw_call
 from scripted_target import json_lines
+from version_operators import KindOperator, QuotaOperator, ScriptedTargets, Versions
 from zone_operator import ControlCuts, ZoneOperator
 
 MALFORMED_STATUS_LINES = [b"HTTP/1.1 20 ", b"HTTP/1.1 0200 ", b"HTTP/1.1 999 ", b"HTTP/1.1 2"]
@@ -124,6 +128,10 @@
 
         self.zone_operator = ZoneOperator(self)
         self.control_cuts = ControlCuts(self)
+        self.versions = Versions()
+        scripted = ScriptedTargets(deployment)
+        self.kind_operator = KindOperator(self, self.versions, scripted)
+        self.quota_operator = QuotaOperator(self, self.versions, scripted)
 
     def count(self, counter, amount=1):
         with self.lock:
@@ -189,9 +197,11 @@
 
     def run_operator(self):
         while time.time() < self.end:
-            status = self.deployment.replace_routing(
-                self.routes(), self.operator_random.choice(self.deployment.controls))
+            document, changes = self.versions.document(self.deployment, self.routes())
+            status = http("POST", f"{self.operator_random.choice(self.deployment.controls)}:8000",
+                          "/v1/routing/replace", document, timeout=5.0)[0]
             if status == 200:
+                self.versions.on_acknowledged(changes)
                 with self.lock:
                     self.acknowledged.append((self.deployment.version, time.time()))
                 self.count("versions acknowledged")
@@ -244,6 +254,8 @@
                     threading.Thread(target=self.run_other_writer),
                     threading.Thread(target=self.run_garbler),
                     threading.Thread(target=self.zone_operator.run),
+                    threading.Thread(target=self.kind_operator.run),
+                    threading.Thread(target=self.quota_operator.run),
                     threading.Thread(target=self.control_cuts.run)]
         for worker in workers:
             worker.start()
