Quota limiter: shares come for customers that the host has reported

A host keeps the state of each customer that it has ever reported, and the leader gives shares by reports alone, so a share for a customer without any state cannot come. The branch for it goes; what hosts do is as before.

--- a/src/libsnipeworks/quota_limiter.cpp
+++ b/src/libsnipeworks/quota_limiter.cpp
@@ -258,15 +258,14 @@
       active.state->share = 0.0;
     }
   }
-  // The leader may have a newer version than this host, which gives the
-  // customer a quota, and does not repeat the share.
+  // Also of a customer without a quota in the version here: the leader may have
+  // a newer one, and does not repeat the share.
   for (const QuotaShare& share : grant.shares) {
-    if (share.share == 0.0 && !customers_.contains(share.customer)) {
-      continue;
+    auto found = customers_.find(share.customer);
+    if (found != customers_.end()) {
+      Activate(found->first, found->second);
+      found->second.share = share.share;
     }
-    auto [entry, inserted] = customers_.try_emplace(share.customer);
-    Activate(entry->first, entry->second);
-    entry->second.share = share.share;
   }
 }
 
