--- a/src/libsnipeworks/forward_host_requests.cpp
+++ b/src/libsnipeworks/forward_host_requests.cpp
@@ -45,8 +45,8 @@
 
 }  // namespace
 
-// What may have changed during a suspension is every decision that depends on
-// the routing, from the route itself to whether the request may run twice.
+// A version that was accepted during a suspension may change each decision
+// below, from the route itself to whether the request may run twice.
 void ForwardHost::OnRequest(ExchangeId exchange, HttpRequest request) {
   const Instant now = MonotonicNow();
   const bool suspended =
--- a/src/libsnipeworks/quota_allocator.cpp
+++ b/src/libsnipeworks/quota_allocator.cpp
@@ -305,10 +305,11 @@
 }
 
 // Counts are totals of the host, so that each report replaces the ones before
-// it. Hosts of earlier versions begin them at 0 again when a customer or its
-// quota comes back: the difference to a count from before is no use. What a
-// host names as counted tells, since it can only be what was counted before the
-// newest report on the customer, or after it.
+// it. Hosts of earlier versions begin at 0 again when a customer or its quota
+// comes back, and their new totals must not be compared with earlier ones. A
+// host that goes on names as counted the total of its newest report on the
+// customer, or if that was not answered, what it named in it. Any other number
+// means that it has begun again.
 bool QuotaAllocator::ReadUses(Instant now,
                               Host& host,
                               const QuotaReport& report) {
